--- /dev/null
+++ b/src/main/java/firstage/Brain.java
@@ -0,0 +1,807 @@
+package firstage;
+
+import firstage.door.Arrival;
+import firstage.door.Deployment;
+import firstage.door.Ending;
+import firstage.door.EngineList;
+import firstage.door.EngineList.Standing;
+import firstage.door.Host;
+import firstage.door.Note;
+import firstage.door.Outcome;
+import firstage.door.Report;
+import firstage.door.ServiceGroup;
+import firstage.door.ServiceGroup.Effect;
+import firstage.door.WorkloadManager;
+import firstage.state.Batch;
+import firstage.state.Engine;
+import firstage.state.Flight;
+import firstage.state.Group;
+import firstage.state.Health;
+import firstage.state.Tally;
+import firstage.state.Turn;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * All decisions of one workload manager. Callers tell it news through {@link WorkloadManager} and end each
+ * moment with {@link #turn}; it acts through {@link Host}. Interface and types stand in firstage.door; times
+ * are whole tenths of a millisecond. Reading order: constants, tables, news, release, choice, health, rules.
+ *
+ * <p>Ordinary path (docs/design.md): each batch reserves its grant on this manager's slice of one engine's
+ * memory, and its threads under an adaptive bound, or waits in a bounded FIFO queue until there is room.
+ */
+public final class Brain implements WorkloadManager {
+    // ---- Constants: unit, and why this size.
+    /** Share of an engine's memory all slices start from; RFC 0058 3.2 gives 0.75 to a process of its own. */
+    private static final double POOL_SHARE = 0.75;
+    /** Threads a core all bounds start from (design): past one or two an engine does less in total. */
+    private static final double THREADS_PER_CORE = 2;
+    /** First margin over a memory figure (design): a quarter. */
+    private static final double FIRST_MARGIN = 0.25;
+    /** Margin added after a short grant and taken after an ample one: about one in eight comes out short. */
+    private static final double MARGIN_UP = 0.14;
+    private static final double MARGIN_DOWN = 0.02;
+    /** Bounds of the margin: estimates may lie high by half, or low by four times. */
+    private static final double LEAST_MARGIN = -0.5;
+    private static final double MOST_MARGIN = 3;
+    /** Times the best latency: above SLOW an engine is pressed, below CALM its slice and bound may grow. */
+    private static final double SLOW = 2.2;
+    private static final double CALM = 1.6;
+    /** Factor of one shrinking step: three steps halve, so one bad second cannot close an engine. */
+    private static final double SHRINK = 0.8;
+    /** Tenths of ms between two shrinking steps: the last one must show in answers first. */
+    private static final long SHRINK_GAP = 7_000;
+    /** Share of a returned batch's threads and grant by which bound and slice grow: they double in seconds. */
+    private static final double GROW = 0.5;
+    /** Tenths of ms for which a wait for memory, a busy report or a full refusal counts as pressure. */
+    private static final long PRESSED = 15_000;
+    /** Held batches per core of this manager's part of the engines: what they clear in a response goal. */
+    private static final double HELD_PER_CORE = 4;
+    /** Progress notes missed in a row before an engine counts as silent: two may be late, three are not. */
+    private static final double NOTES_MISSED = 2.6;
+    /** Tenths of ms without any word that count as silent where there are no notes. */
+    private static final long SILENT_WITHOUT_NOTES = 40_000;
+    /** Tenths of ms an engine rests before its first trial; doubled to at most MOST_REST. */
+    private static final long FIRST_REST = 10_000;
+    private static final long MOST_REST = 80_000;
+    /** Share of what the cold rule allows that this manager uses: others and chance need the rest. */
+    private static final double COLD_SAFETY = 0.6;
+    /** How fast a cold engine is taken to warm, against a straight line: the true course is not told. */
+    private static final double WARMING = 0.5;
+    /** Busy share of the cores at capacity, as load is reckoned for the cold rule. */
+    private static final double FULL = 0.85;
+    /** A dispatch that will take this many times a fresh one is a runaway: few plain ones vary so much. */
+    private static final double RUNAWAY = 3;
+    /** Tenths of ms between looks at timers of our own: well under the slack for a final answer. */
+    private static final long BEAT = 100;
+    /** Tenths of ms before the client's limit at which a held batch is answered: two beats. */
+    private static final long LAST_CALL = 300;
+    /** Steps of free room that count as alike in choosing an engine; inside one, nearness decides. */
+    private static final double ROOM_STEPS = 4;
+    /** Tenths of ms a pushed back client should stay away: a queue clears about half its length in it. */
+    private static final long COME_BACK = 5_000;
+    /** Tenths of ms between halvings of an engine's slowness bins: old samples fade in a few seconds. */
+    private static final long FADE = 10_000;
+    /** Samples after which a service group's bins are halved. */
+    private static final int GROUP_SAMPLES = 64;
+    /** Drift of the best latency a halving: a quiet hour's best must not rule for ever. */
+    private static final double BEST_DRIFT = 1.05;
+    /** Pieces into which a rule's window is cut: what is in doubt is counted so that the rule is kept. */
+    private static final int PIECES = 20;
+
+    // ---- Tables.
+    private enum News { ANSWER, SIGN, UNREACHED, BROKE, QUIET, RESTED, RESTARTED }
+
+    private enum Act { NONE, REST, CLEAR }
+
+    private record Row(Health state, News news, Health next, Act act) {
+    }
+
+    /** State, input, next state, effect. A pair without a row changes nothing. */
+    private static final Row[] HEALTH = {
+        new Row(Health.READY, News.UNREACHED, Health.DOWN, Act.REST),
+        new Row(Health.READY, News.BROKE, Health.DOWN, Act.REST),
+        new Row(Health.READY, News.QUIET, Health.SILENT, Act.REST),
+        new Row(Health.TRIAL, News.UNREACHED, Health.DOWN, Act.REST),
+        new Row(Health.TRIAL, News.BROKE, Health.DOWN, Act.REST),
+        new Row(Health.TRIAL, News.QUIET, Health.SILENT, Act.REST),
+        new Row(Health.TRIAL, News.ANSWER, Health.READY, Act.CLEAR),
+        new Row(Health.SILENT, News.ANSWER, Health.READY, Act.CLEAR),
+        new Row(Health.SILENT, News.SIGN, Health.TRIAL, Act.NONE),
+        new Row(Health.SILENT, News.RESTED, Health.TRIAL, Act.NONE),
+        new Row(Health.SILENT, News.RESTARTED, Health.TRIAL, Act.CLEAR),
+        new Row(Health.DOWN, News.ANSWER, Health.READY, Act.CLEAR),
+        new Row(Health.DOWN, News.RESTED, Health.TRIAL, Act.NONE),
+        new Row(Health.DOWN, News.RESTARTED, Health.READY, Act.CLEAR),
+    };
+
+    /** What an outcome tells of the engine; the others (turned away, called off, not sent) tell nothing. */
+    private static final Map<Outcome, News> TELLS = Map.of(Outcome.RETURNED, News.ANSWER,
+            Outcome.ERRORED, News.ANSWER, Outcome.NO_CONNECTION, News.UNREACHED, Outcome.BROKEN, News.BROKE,
+            Outcome.TURNED_AWAY, News.SIGN);
+
+    private enum Again { ANYWHERE, IN_SCOPE, NO }
+
+    private record Leave(Effect effect, boolean mayHaveRun, Again again, boolean pushBack) {
+    }
+
+    /** Rule 2: where a batch may go again, and whether it may be pushed back (referenced: scope ALL only). */
+    private static final Leave[] LEAVES = {
+        new Leave(Effect.REPEATABLE, false, Again.ANYWHERE, true),
+        new Leave(Effect.REPEATABLE, true, Again.ANYWHERE, true),
+        new Leave(Effect.REFERENCED, false, Again.ANYWHERE, true),
+        new Leave(Effect.REFERENCED, true, Again.IN_SCOPE, false),
+        new Leave(Effect.ONCE_ONLY, false, Again.ANYWHERE, true),
+        new Leave(Effect.ONCE_ONLY, true, Again.NO, false),
+    };
+
+    // ---- State.
+    private final Host host;
+    private final Deployment.Allowed allowed;
+    private final Deployment.Rules rules;
+    private final List<Deployment.Machine> machines;
+    private final List<Group> groups = new ArrayList<>();
+    private final double share;
+    private final int zone;
+    private final boolean nearby;
+    private final double largestGrant;
+    private final long notePace;
+    private final long silentAfter;
+    private final double[] customerRate;
+    private final double[] customerTokens;
+    private final List<Engine> engines = new ArrayList<>();
+    private final Map<Integer, Batch> batches = new HashMap<>();
+    private final TreeMap<Long, Batch> held = new TreeMap<>();
+    private final Map<Integer, Turn> turns = new HashMap<>();
+    private final Tally taken;
+    private final Tally further;
+    private long arrivals;
+    private long nextBeat;
+    private long nextFade;
+    private boolean subscribe;
+
+    public Brain(Deployment deployment, Host host) {
+        this.host = host;
+        allowed = deployment.allowed();
+        rules = deployment.rules();
+        machines = deployment.machines();
+        taken = new Tally(rules.furtherSpan(), PIECES);
+        further = new Tally(rules.furtherSpan(), PIECES);
+        share = 1.0 / deployment.managers();
+        zone = deployment.zone();
+        nearby = deployment.crossingCosts();
+        largestGrant = deployment.largestGrant();
+        notePace = deployment.notePace();
+        silentAfter = notePace > 0 ? (long) (notePace * NOTES_MISSED) : SILENT_WITHOUT_NOTES;
+        subscribe = deployment.asksForList();
+        customerRate = deployment.customerRates().stream().mapToDouble(r -> r * share / 10_000).toArray();
+        customerTokens = new double[customerRate.length];
+        for (ServiceGroup is : deployment.groups()) {
+            groups.add(new Group(is, FIRST_MARGIN, GROUP_SAMPLES));
+        }
+    }
+
+    // ---- News.
+    @Override
+    public void taken(long now, Arrival arrival) {
+        Batch b = new Batch(arrival, groups.get(arrival.group()), arrivals++, now);
+        if (b.key >= 0) {
+            turns.computeIfAbsent(b.key, k -> new Turn()).line.add(b);
+        } else if (arrival.key() >= 0 && !turns.containsKey(arrival.key())) {
+            host.forgetKey(arrival.key());
+        }
+        ServiceGroup is = b.group.is;
+        b.goalAt = now + is.goal() + (long) (is.stretch() * expectedWork(b) / is.threads());
+        if (arrival.customer() >= 0 && arrival.customer() < customerTokens.length) {
+            b.overShare = customerTokens[arrival.customer()] < 1;
+            customerTokens[arrival.customer()] = Math.max(0, customerTokens[arrival.customer()] - 1);
+        }
+        batches.put(arrival.batch(), b);
+        held.put(b.order, b);
+        taken.add(now, 1);
+    }
+
+    @Override
+    public void ended(long now, Ending ending) {
+        Batch b = batches.get(ending.batch());
+        Flight f = b == null ? null : b.flight(ending.dispatch());
+        if (f == null) {
+            return;
+        }
+        Engine e = f.engine;
+        Outcome how = ending.outcome();
+        b.out.remove(f);
+        land(f);
+        if (how.mayHaveRun) {
+            if (!b.mayHaveRun || f.sent < b.firstRun) {
+                b.firstRun = f.sent;
+                b.firstEngine = e;
+            }
+            b.mayHaveRun = true;
+        }
+        if (TELLS.containsKey(how)) {
+            e.heard = now;
+            health(now, e, TELLS.get(how));
+        }
+        if (how == Outcome.TURNED_AWAY) {
+            press(now, e);
+        }
+        if (how == Outcome.RETURNED) {
+            learn(now, f, ending);
+        }
+        report(now, e, ending.report());
+        Turn turn = turns.get(b.key);
+        if (turn != null && Set.of(Outcome.TIMED_OUT, Outcome.BROKEN, Outcome.CALLED_OFF).contains(how)) {
+            turn.restUntil = Math.max(turn.restUntil, now + rules.keyRest());
+        }
+        if (ending.closed()) {
+            b.closed = true;
+        }
+        if (b.closed || b.out.isEmpty()) {
+            afterwards(now, b);
+        }
+    }
+
+    /** A batch that is closed is forgotten; one that has nothing out goes again or is given up. */
+    private void afterwards(long now, Batch b) {
+        if (b.closed) {
+            close(b);
+        } else if (mayGoAgain(now, b) && now < b.is.notAfter() - LAST_CALL) {
+            held.put(b.order, b);
+        } else {
+            giveUp(b);
+        }
+    }
+
+    @Override
+    public void noted(long now, Note note) {
+        Batch b = batches.get(note.batch());
+        Flight f = b == null ? null : b.flight(note.dispatch());
+        if (f == null) {
+            return;
+        }
+        Engine e = f.engine;
+        e.heard = now;
+        health(now, e, News.SIGN);
+        f.standsStill = note.kind() == Note.Kind.WAITS_FOR_LOAD;
+        switch (note.kind()) {
+            case DONE -> {
+                f.share = Math.max(note.amount(), f.share);
+                if (f.share > 0.05 && b.is.estimate() > 0 && !f.waited) {
+                    double whole = (now - f.sent) / f.share * b.group.is.threads();
+                    e.slow.add(whole / b.is.estimate() / b.group.best());
+                }
+            }
+            case SPILLS -> f.shortGrant = true;
+            case WAITS_FOR_MEMORY -> {
+                f.waited = true;
+                press(now, e);
+                shrink(now, e, false);
+            }
+            case WAITS_FOR_LOAD -> {
+                f.waited = true;
+                e.loaded.put(b.is.tables(), now + 2 * notePace);
+            }
+        }
+    }
+
+    @Override
+    public void clientLeft(long now, int batch) {
+        Batch b = batches.get(batch);
+        if (b != null) {
+            close(b);
+        }
+    }
+
+    @Override
+    public void listed(long now, EngineList list) {
+        if (list.kind() == EngineList.Kind.FAILED) {
+            subscribe = true;
+            return;
+        }
+        if (list.kind() != EngineList.Kind.CHANGES) {
+            for (Engine e : engines) {
+                if (e != null) {
+                    e.standing = Standing.LEFT;
+                }
+            }
+        }
+        for (EngineList.Entry entry : list.entries()) {
+            Engine e = engine(entry.engine());
+            boolean restarted = entry.since() > e.since && e.mark != 0;
+            e.mark = entry.mark();
+            e.zone = entry.zone();
+            e.cell = entry.cell();
+            e.standing = entry.standing();
+            e.since = Math.max(e.since, entry.since());
+            if (e.cores == 0 || e.kind != entry.kind()) {
+                e.kind = entry.kind();
+                measure(e);
+            }
+            if (restarted) {
+                e.loaded.clear();
+                health(now, e, News.RESTARTED);
+            }
+        }
+    }
+
+    /** Slice and bound at their start: this manager's part of the engine. Untold sizes count as one core. */
+    private void measure(Engine e) {
+        Deployment.Machine m = e.kind >= 0 && e.kind < machines.size() ? machines.get(e.kind) : null;
+        e.cores = m == null || m.cores() <= 0 ? 1 : m.cores();
+        e.memory = m == null || m.memoryMb() <= 0 ? Double.MAX_VALUE / 4 : m.memoryMb();
+        e.slice = e.memory * POOL_SHARE * share;
+        e.bound = e.cores * THREADS_PER_CORE * share;
+    }
+
+    @Override
+    public void probed(long now, int index, Outcome outcome, Report report) {
+        report(now, engine(index), report);
+    }
+
+    @Override
+    public void peerSaid(long now, int peer, byte[] words) {
+        // Peers are not asked for anything yet: what passes through is enough to decide by.
+    }
+
+    @Override
+    public void woken(long now, long token) {
+        nextBeat = 0;
+    }
+
+    private void report(long now, Engine e, Report report) {
+        if (report != null && report.waiting() >= 1) {
+            press(now, e);
+        }
+    }
+
+    private void press(long now, Engine e) {
+        e.pressedUntil = now + PRESSED;
+    }
+
+    // ---- Release.
+    @Override
+    public void turn(long now) {
+        if (subscribe) {
+            host.subscribe();
+            subscribe = false;
+        }
+        watch(now);
+        for (Batch b : new ArrayList<>(held.values())) {
+            Engine e = now < b.is.notAfter() - LAST_CALL && myTurn(now, b) ? choose(now, b) : null;
+            if (e != null) {
+                send(now, b, e);
+            } else if (now >= giveUpAt(b)
+                    || b.dispatches == 0 && (held.size() > room() || b.overShare && pressed(now))) {
+                held.remove(b.order);
+                if (b.out.isEmpty()) {
+                    giveUp(b);
+                }
+            }
+        }
+        if (nextBeat == 0 && (!batches.isEmpty() || !turns.isEmpty())) {
+            nextBeat = now + BEAT;
+            host.wakeIn(BEAT, 0);
+        }
+    }
+
+    private boolean pressed(long now) {
+        for (Engine e : engines) {
+            if (e != null && usable(e) && !pressed(now, e)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private int room() {
+        double cores = 0;
+        for (Engine e : engines) {
+            cores += e != null && e.standing == Standing.ACTIVE ? e.cores : 0;
+        }
+        return (int) Math.max(HELD_PER_CORE, cores * share * HELD_PER_CORE);
+    }
+
+    /** The queue's time-out: the last moment at which a dispatch could still earn something. */
+    private long giveUpAt(Batch b) {
+        long run = (long) (expectedWork(b) / b.group.is.threads());
+        long worthless = b.group.is.lateValue() > 0 ? b.is.notAfter() : b.goalAt;
+        return Math.min(b.is.notAfter() - LAST_CALL, worthless - run);
+    }
+
+    private void send(long now, Batch b, Engine e) {
+        held.remove(b.order);
+        Flight f = new Flight(b, e, b.dispatches++, now, grant(b, e));
+        if (f.number > 0) {
+            further.add(now, 1);
+        }
+        if (allowed.grants() || allowed.priorities()) {
+            host.provide(b.is.batch(), allowed.grants() ? (int) Math.ceil(f.grant) : 0, priority(b));
+        }
+        host.dispatch(b.is.batch(), e.index, 0);
+        b.out.add(f);
+        b.last = e;
+        e.reserved += f.grant;
+        e.threads += b.group.is.threads();
+        e.flights.add(f);
+        if (cold(now, e) < 1) {
+            e.cold.add(now, b.group.usualWork());
+        }
+    }
+
+    /** Frees what the dispatch reserved. */
+    private void land(Flight f) {
+        if (f.engine.flights.remove(f)) {
+            f.engine.reserved = f.engine.flights.isEmpty() ? 0 : f.engine.reserved - f.grant;
+            f.engine.threads -= f.batch.group.is.threads();
+        }
+    }
+
+    private int priority(Batch b) {
+        double top = 0;
+        for (Group g : groups) {
+            top = Math.max(top, g.is.utility() / g.usualWork());
+        }
+        double rate = b.group.is.utility() / Math.max(1, expectedWork(b)) / top;
+        return rate >= 0.4 ? 3 : rate >= 0.1 || b.group.is.load() ? 2 : rate >= 0.03 ? 1 : 0;
+    }
+
+    /** The told estimate or the mean true memory, with the margin; else half a core's memory a thread. */
+    private double grant(Batch b, Engine e) {
+        Group g = b.group;
+        double figure = memoryFigure(b);
+        double want = figure > 0 ? figure * (1 + g.margin) : e.memory / e.cores / 2 * g.is.threads();
+        return Math.max(1, Math.min(want, largestGrant * e.memory));
+    }
+
+    private double memoryFigure(Batch b) {
+        Group g = b.group;
+        return b.is.memoryMb() > 0 ? b.is.memoryMb() : g.memory.or(0);
+    }
+
+    private double expectedWork(Batch b) {
+        Group g = b.group;
+        return b.is.estimate() > 0 ? b.is.estimate() * g.best() : g.usualWork();
+    }
+
+    // ---- Choice of engine.
+    /** The fitting engine with the most free room; where none fits, one without pressure; else none. */
+    private Engine choose(long now, Batch b) {
+        if (b.dispatches > 0 && !mayGoAgain(now, b)) {
+            return null;
+        }
+        Engine best = null;
+        double bestRank = Double.NEGATIVE_INFINITY;
+        for (Engine e : engines) {
+            if (e == null || !open(now, b, e)) {
+                continue;
+            }
+            double warm = cold(now, e);
+            double grant = grant(b, e);
+            int threads = b.group.is.threads();
+            boolean fits = e.flights.isEmpty() || e.reserved + grant <= e.slice * warm
+                    && e.threads + threads <= e.bound * warm;
+            boolean easy = warm >= 1 && !pressed(now, e) && e.reserved + grant <= e.memory
+                    && e.threads + threads <= e.cores * THREADS_PER_CORE;
+            if (!fits && !easy) {
+                continue;
+            }
+            double free = (e.slice * warm - e.reserved) / e.slice;
+            double rank = (fits ? 100 : 0) + Math.max(-20, Math.floor(free * ROOM_STEPS)) * 2
+                    + (nearby && e.zone == zone ? 1 : 0) + nearness(b, e) - (e == b.last ? 50 : 0);
+            if (rank > bestRank) {
+                bestRank = rank;
+                best = e;
+            }
+        }
+        return best;
+    }
+
+    /** From 0 to 1: the same engines read the same tables and keep them warm; loads go where they do not. */
+    private static double nearness(Batch b, Engine e) {
+        long h = (e.mark * 0x9E3779B97F4A7C15L) ^ (b.is.tables() * 0xC2B2AE3D27D4EB4FL);
+        h = (h ^ (h >>> 29)) * 0xBF58476D1CE4E5B9L;
+        double place = ((h ^ (h >>> 32)) & 0xFFFF) / 65_536.0;
+        return b.group.is.load() ? 1 - place : place;
+    }
+
+    private static boolean usable(Engine e) {
+        return e.standing == Standing.ACTIVE && (e.health == Health.READY || e.health == Health.TRIAL);
+    }
+
+    /** Whether rules and health let this batch go to this engine at all. */
+    private boolean open(long now, Batch b, Engine e) {
+        ServiceGroup is = b.group.is;
+        if (!usable(e) || !allows(is.zones(), e.zone) || !allows(is.kinds(), e.kind)) {
+            return false;
+        }
+        // A trial costs one repeatable batch at most; a once-only one would be lost with it.
+        if (e.health == Health.TRIAL && (!e.flights.isEmpty() || is.effect() != Effect.REPEATABLE)) {
+            return false;
+        }
+        for (Flight f : b.out) {
+            if (f.engine == e) {
+                return false;
+            }
+        }
+        if ((b.mayHaveRun || !b.out.isEmpty()) && is.effect() == Effect.REFERENCED) {
+            Engine first = b.mayHaveRun ? b.firstEngine : b.out.get(0).engine;
+            boolean inScope = switch (is.scope()) {
+                case ALL -> true;
+                case ZONE -> first.zone == e.zone;
+                case CELL -> first.cell == e.cell;
+            };
+            if (!inScope) {
+                return false;
+            }
+        }
+        if ((is.yieldsToLoads() || is.load()) && b.is.tables() >= 0 && holdsLoad(now, b.is.tables(), e)) {
+            return false;
+        }
+        return cold(now, e) >= 1 || coldRoom(now, b, e);
+    }
+
+    private static boolean allows(Set<Integer> places, int place) {
+        return places.isEmpty() || places.contains(place);
+    }
+
+    private static boolean holdsLoad(long now, int tables, Engine e) {
+        if (e.loaded.getOrDefault(tables, 0L) > now) {
+            return true;
+        }
+        for (Flight f : e.flights) {
+            if (f.batch.is.tables() == tables && f.batch.group.is.load()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** The share of its capacity an engine is sure to have: from the rule's start figure to 1 when warm. */
+    private double cold(long now, Engine e) {
+        long age = now - e.since;
+        if (e.since <= 0 || age >= rules.warmAfter() || rules.coldFrom() <= 0) {
+            return 1;
+        }
+        double straight = Math.max(0, (double) age / rules.warmAfter());
+        return rules.coldFrom() + (1 - rules.coldFrom()) * straight * WARMING;
+    }
+
+    /** Rule 4: this manager's part of what a cold engine stands in any fall window. */
+    private boolean coldRoom(long now, Batch b, Engine e) {
+        if (rules.tipMultiple() <= 0) {
+            return true;
+        }
+        double sent = e.cold.touching(now) + b.group.usualWork();
+        double stands = rules.tipMultiple() * cold(now, e) * e.cores * FULL * rules.fall();
+        return sent <= stands * share * COLD_SAFETY;
+    }
+
+    // ---- Learning and health.
+    private void learn(long now, Flight f, Ending ending) {
+        Batch b = f.batch;
+        Group g = b.group;
+        Engine e = f.engine;
+        int threads = g.is.threads();
+        double truth = ending.work() > 0 ? ending.work() : b.is.estimate();
+        double ratio = truth > 0 ? (double) ending.took() * threads / truth : 1;
+        if (!f.waited) {
+            g.pace.add(ratio);
+            if (g.pace.total() >= GROUP_SAMPLES) {
+                double median = g.pace.quantile(0.5);
+                g.best = Math.min(g.best * BEST_DRIFT, median);
+                g.pace.halve();
+            }
+        }
+        g.work.add(ending.work() > 0 ? ending.work() : ending.took() * (double) threads);
+        double figure = memoryFigure(b);
+        if (figure > 0) {
+            boolean tooShort = ending.memoryMb() > 0 ? ending.memoryMb() > f.grant : f.shortGrant;
+            g.margin += tooShort ? MARGIN_UP : -MARGIN_DOWN;
+            g.margin = Math.max(LEAST_MARGIN, Math.min(MOST_MARGIN, g.margin));
+        }
+        if (ending.memoryMb() > 0) {
+            g.memory.add(ending.memoryMb());
+        }
+        double slowness = truth > 0 ? ratio / g.best() : 1;
+        if (!f.waited) {
+            e.slow.add(slowness);
+        }
+        if (f.waited || slowness > SLOW) {
+            if (e.slow.quantile(0.5) > SLOW) {
+                shrink(now, e, true);
+            }
+        } else if (slowness < CALM && e.slow.quantile(0.5) < CALM) {
+            // Both grow only while in use: an idle hour must not open the engine for a burst.
+            if (e.threads + threads >= e.bound / 2) {
+                e.bound = Math.min(e.cores * THREADS_PER_CORE, e.bound + threads * GROW);
+            }
+            if (e.reserved + f.grant >= e.slice / 2) {
+                e.slice = Math.min(e.memory, e.slice + f.grant * GROW);
+            }
+        }
+    }
+
+    private void shrink(long now, Engine e, boolean threadsToo) {
+        if (now - e.shrunk < SHRINK_GAP) {
+            return;
+        }
+        e.shrunk = now;
+        e.slice = Math.max(e.memory * POOL_SHARE * share / 2, e.slice * SHRINK);
+        if (threadsToo) {
+            e.bound = Math.max(e.cores * share / 2, e.bound * SHRINK);
+        }
+    }
+
+    private boolean pressed(long now, Engine e) {
+        return now < e.pressedUntil || e.slow.total() >= 1 && e.slow.quantile(0.5) > SLOW;
+    }
+
+    private void health(long now, Engine e, News news) {
+        for (Row row : HEALTH) {
+            if (row.state == e.health && row.news == news) {
+                e.health = row.next;
+                if (row.act == Act.REST) {
+                    e.restUntil = now + e.rest;
+                    e.rest = Math.min(MOST_REST, e.rest * 2);
+                } else if (row.act == Act.CLEAR) {
+                    e.rest = FIRST_REST;
+                }
+                return;
+            }
+        }
+    }
+
+    /** Looks after what no event tells: silent engines, rests that are over, dispatches that get nowhere. */
+    private void watch(long now) {
+        boolean fade = now >= nextFade;
+        if (fade) {
+            for (int c = 0; c < customerTokens.length; c++) {
+                double refill = customerRate[c] * FADE;
+                customerTokens[c] = Math.min(2 * refill, customerTokens[c] + refill);
+            }
+            nextFade = now + FADE;
+        }
+        for (Engine e : engines) {
+            if (e == null) {
+                continue;
+            }
+            if (fade) {
+                e.slow.halve();
+            }
+            if (now >= e.restUntil) {
+                health(now, e, News.RESTED);
+            }
+            long oldest = now;
+            for (Flight f : e.flights) {
+                oldest = Math.min(oldest, f.sent);
+            }
+            if (now - Math.max(oldest, e.heard) > silentAfter) {
+                health(now, e, News.QUIET);
+            }
+            for (Flight f : new ArrayList<>(e.flights)) {
+                rescue(now, f);
+            }
+        }
+        turns.entrySet().removeIf(t -> {
+            boolean over = t.getValue().line.isEmpty() && now >= t.getValue().restUntil;
+            if (over) {
+                host.forgetKey(t.getKey());
+            }
+            return over;
+        });
+    }
+
+    /** A dispatch that gets nowhere is called off, or a copy is sent beside it, where both are allowed. */
+    private void rescue(long now, Flight f) {
+        Batch b = f.batch;
+        boolean lost = f.engine.health == Health.SILENT || f.engine.health == Health.DOWN;
+        if (b.closed || f.givenUp || !(lost || f.standsStill || runaway(now, f))) {
+            return;
+        }
+        if (b.dispatches >= allowed.dispatches() || !leave(b).again.equals(Again.ANYWHERE)
+                && b.group.is.effect() == Effect.ONCE_ONLY) {
+            return;
+        }
+        if (allowed.callOff() && (b.group.is.effect() == Effect.REPEATABLE || lost)) {
+            f.givenUp = true;
+            host.callOff(b.is.batch(), f.number);
+        } else if (allowed.secondCopies() && now < giveUpAt(b)) {
+            f.givenUp = true;
+            held.put(b.order, b);
+        }
+    }
+
+    /** Far behind its estimate by its own notes, while a fresh dispatch could still make the goal. */
+    private boolean runaway(long now, Flight f) {
+        Batch b = f.batch;
+        double fresh = expectedWork(b) / b.group.is.threads();
+        return allowed.callOff() && b.is.estimate() > 0 && f.share > 0 && !f.waited
+                && (now - f.sent) / f.share * (1 - f.share) > RUNAWAY * fresh && now + fresh < b.goalAt;
+    }
+
+    // ---- Rules.
+    private Leave leave(Batch b) {
+        boolean ran = b.mayHaveRun || !b.out.isEmpty();
+        for (Leave leave : LEAVES) {
+            if (leave.effect == b.group.is.effect() && leave.mayHaveRun == ran) {
+                return leave;
+            }
+        }
+        throw new IllegalStateException("no leave for " + b.group.is.effect());
+    }
+
+    private boolean mayGoAgain(long now, Batch b) {
+        if (b.dispatches >= allowed.dispatches() || !b.out.isEmpty() && !allowed.secondCopies()) {
+            return false;
+        }
+        Again again = leave(b).again;
+        if (again == Again.NO) {
+            return false;
+        }
+        if (again == Again.IN_SCOPE) {
+            long first = b.mayHaveRun ? b.firstRun : b.out.get(0).sent;
+            if (now >= first + b.group.is.window()) {
+                return false;
+            }
+        }
+        return b.dispatches == 0 || withinBudget(now);
+    }
+
+    /** Rule 7. */
+    private boolean withinBudget(long now) {
+        if (rules.furtherRatio() < 0) {
+            return true;
+        }
+        return further.touching(now) + 1 <= rules.furtherFree() + rules.furtherRatio() * taken.within(now);
+    }
+
+    /** Rule 5: the first in its key's line goes, after the rest an earlier one left behind. */
+    private boolean myTurn(long now, Batch b) {
+        Turn turn = turns.get(b.key);
+        return turn == null || turn.line.peek() == b && (b.dispatches > 0 || now >= turn.restUntil);
+    }
+
+    /** Answers at once; a pushback only where trying again is harmless. */
+    private void giveUp(Batch b) {
+        ServiceGroup is = b.group.is;
+        boolean harmless = leave(b).pushBack
+                || is.effect() == Effect.REFERENCED && is.scope() == ServiceGroup.Scope.ALL;
+        if (harmless) {
+            long comeBack = Math.min(COME_BACK, allowed.longestComeBack());
+            host.pushBack(b.is.batch(), allowed.comeBack() ? comeBack : 0);
+        } else {
+            host.error(b.is.batch());
+        }
+        close(b);
+    }
+
+    private void close(Batch b) {
+        b.closed = true;
+        held.remove(b.order);
+        if (b.out.isEmpty() && batches.remove(b.is.batch()) != null) {
+            Turn turn = turns.get(b.key);
+            if (turn != null) {
+                turn.line.remove(b);
+            }
+            host.forgetBatch(b.is.batch());
+        }
+    }
+
+    private Engine engine(int index) {
+        while (engines.size() <= index) {
+            engines.add(null);
+        }
+        Engine e = engines.get(index);
+        if (e == null) {
+            e = new Engine(index, new Tally(rules.fall(), PIECES));
+            e.rest = FIRST_REST;
+            engines.set(index, e);
+        }
+        return e;
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/benchlink/BenchLink.java
@@ -0,0 +1,131 @@
+package firstage.benchlink;
+
+import java.io.BufferedReader;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStreamWriter;
+import java.io.PrintStream;
+import java.io.Writer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Reads rounds of events from the wire, hands them to their managers and writes one reply a round. */
+public final class BenchLink {
+    private final BufferedReader in;
+    private final Writer out;
+    private final PrintStream err;
+    private final Map<String, Seat> seats = new HashMap<>();
+    private final Map<Integer, List<Fields>> lists = new HashMap<>();
+    /** The managers with news in this round, in the order of their first event. */
+    private final Map<String, Seat> called = new LinkedHashMap<>();
+    private final StringBuilder faults = new StringBuilder();
+    private List<Fields> filling;
+    private int expected;
+    private long now;
+    private String round;
+
+    public BenchLink(InputStream in, PrintStream out, PrintStream err) {
+        this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
+        this.out = new BufferedWriter(new OutputStreamWriter(out, StandardCharsets.UTF_8), 1 << 16);
+        this.err = err;
+    }
+
+    /** Runs until the input ends. */
+    public void run() throws IOException {
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            if (line.isEmpty()) {
+                continue;
+            }
+            try {
+                read(line);
+            } catch (MalformedLine fault) {
+                String shown = line.length() > 200 ? line.substring(0, 200) + "..." : line;
+                err.println("skipped a line: " + fault.getMessage() + ": " + shown);
+            }
+        }
+    }
+
+    private void read(String line) throws IOException {
+        int space = line.indexOf(' ');
+        String word = space < 0 ? line : line.substring(0, space);
+        if (word.equals("COMMIT")) {
+            reply();
+            return;
+        }
+        Fields f = new Fields(line);
+        switch (word) {
+            case "SYNC" -> {
+                round = f.need("n");
+                now = Fields.tenths(f.needNumber("now"));
+            }
+            case "DEFINE_LIST" -> {
+                filling = new ArrayList<>();
+                expected = f.index("elements", 0);
+                lists.put(f.index("ref", 0), filling);
+            }
+            case "ITEM" -> {
+                if (filling == null || filling.size() == expected) {
+                    throw new MalformedLine("an entry outside its list");
+                }
+                filling.add(f);
+            }
+            default -> event(word, f);
+        }
+    }
+
+    private void event(String word, Fields f) {
+        String number = f.need("i");
+        if (word.equals("DOWN")) {
+            // What the killed manager still meant to do dies with it.
+            seats.remove(number);
+            called.remove(number);
+            return;
+        }
+        Seat seat = null;
+        try {
+            if (word.equals("POWER_ON")) {
+                seats.put(number, new Seat(number, f));
+            }
+            seat = seats.get(number);
+            if (seat == null) {
+                throw new MalformedLine("no manager runs as " + number);
+            }
+            called.put(number, seat);
+            if (!word.equals("POWER_ON")) {
+                seat.tell(now, word, f, lists);
+            }
+        } catch (MalformedLine fault) {
+            throw fault;
+        } catch (RuntimeException fault) {
+            fatal(number, fault);
+        }
+    }
+
+    private void fatal(String number, RuntimeException fault) {
+        fault.printStackTrace(err);
+        String text = String.valueOf(fault).replace('\n', ' ');
+        faults.append("FATAL i=").append(number).append(" line=").append(text).append('\n');
+    }
+
+    private void reply() throws IOException {
+        for (Map.Entry<String, Seat> entry : called.entrySet()) {
+            try {
+                entry.getValue().turn(now);
+            } catch (RuntimeException fault) {
+                fatal(entry.getKey(), fault);
+            }
+            out.write(entry.getValue().takeReply());
+        }
+        called.clear();
+        out.write(faults.toString());
+        faults.setLength(0);
+        out.write("FINISHED n=" + round + "\n");
+        out.flush();
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/door/Arrival.java
@@ -0,0 +1,9 @@
+package firstage.door;
+
+/**
+ * A batch just taken. {@code customer}, {@code key} and {@code tables} are -1 and the estimates 0 when
+ * absent; {@code estimate} is the work of all its threads as time on one.
+ */
+public record Arrival(int batch, int group, int customer, int key, long notAfter, long estimate,
+                      int memoryMb, int tables, boolean retry) {
+}
--- /dev/null
+++ b/src/main/java/firstage/door/Deployment.java
@@ -0,0 +1,20 @@
+package firstage.door;
+
+import java.util.List;
+
+/** What a workload manager is told of its deployment at start; absent figures are 0, lists empty. */
+public record Deployment(long seed, int managers, int zone, List<ServiceGroup> groups, List<Machine> machines,
+                         List<Double> customerRates, Allowed allowed, Rules rules, double largestGrant,
+                         long notePace, boolean asksForList, boolean crossingCosts, boolean probing) {
+    public record Machine(int cores, double memoryMb) {
+    }
+
+    public record Allowed(boolean callOff, boolean secondCopies, boolean comeBack, boolean grants,
+                          boolean priorities, int dispatches, long longestComeBack) {
+    }
+
+    /** The cold and further-dispatch figures; a ratio below 0 means no budget is set. */
+    public record Rules(double coldFrom, long warmAfter, double tipMultiple, long fall, long keyRest,
+                        double furtherRatio, double furtherFree, long furtherSpan) {
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/door/WorkloadManager.java
@@ -0,0 +1,24 @@
+package firstage.door;
+
+/** What a workload manager is told. Calls carry the clock; {@link #turn} ends each round of news. */
+public interface WorkloadManager {
+    void taken(long now, Arrival arrival);
+
+    void ended(long now, Ending ending);
+
+    void noted(long now, Note note);
+
+    /** The client left, or its time is up: the batch is closed and owed nothing more. */
+    void clientLeft(long now, int batch);
+
+    void listed(long now, EngineList list);
+
+    void probed(long now, int engine, Outcome outcome, Report report);
+
+    void peerSaid(long now, int peer, byte[] words);
+
+    void woken(long now, long token);
+
+    /** All news of this moment has been told; now act on it. */
+    void turn(long now);
+}
--- /dev/null
+++ b/src/main/java/firstage/state/Batch.java
@@ -0,0 +1,43 @@
+package firstage.state;
+
+import firstage.door.Arrival;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A batch that is open, or closed with a dispatch still out. */
+public final class Batch {
+    public final Arrival is;
+    public final Group group;
+    /** Place in the order of arrival at this manager. */
+    public final long order;
+    public final long taken;
+    /** Its key where its group keeps order, else -1. */
+    public final int key;
+    public long goalAt;
+    public int dispatches;
+    public boolean overShare;
+    /** Of the dispatches that are over, one may have run; the first such was sent then, to that engine. */
+    public boolean mayHaveRun;
+    public long firstRun;
+    public Engine firstEngine;
+    public Engine last;
+    public boolean closed;
+    public final List<Flight> out = new ArrayList<>();
+
+    public Batch(Arrival is, Group group, long order, long taken) {
+        this.is = is;
+        this.group = group;
+        this.order = order;
+        this.taken = taken;
+        this.key = group.is.ordered() ? is.key() : -1;
+    }
+
+    public Flight flight(int number) {
+        for (Flight f : out) {
+            if (f.number == number) {
+                return f;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/state/Bins.java
@@ -0,0 +1,38 @@
+package firstage.state;
+
+/** Coarse bins of half an octave around 1. */
+public final class Bins {
+    private static final int COUNT = 17;
+    private final double[] weight = new double[COUNT];
+    private double total;
+
+    public void add(double ratio) {
+        double octaves = Math.log(Math.max(ratio, 1e-9)) / Math.log(2);
+        weight[(int) Math.max(0, Math.min(COUNT - 1, Math.floor(octaves * 2 + COUNT / 2.0)))]++;
+        total++;
+    }
+
+    public void halve() {
+        for (int i = 0; i < COUNT; i++) {
+            weight[i] /= 2;
+        }
+        total /= 2;
+    }
+
+    /** The weight of all samples; one that was halved counts half. */
+    public double total() {
+        return total;
+    }
+
+    /** The ratio below which this share of the samples lies, straight within a bin; 1 without samples. */
+    public double quantile(double share) {
+        double left = share * total;
+        for (int i = 0; i < COUNT && total > 0; i++) {
+            if (weight[i] > 0 && left <= weight[i]) {
+                return Math.pow(2, (i - COUNT / 2.0 + left / weight[i]) / 2);
+            }
+            left -= weight[i];
+        }
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/state/Engine.java
@@ -0,0 +1,43 @@
+package firstage.state;
+
+import firstage.door.EngineList.Standing;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** An engine as this workload manager sees it. */
+public final class Engine {
+    public final int index;
+    public long mark;
+    public int zone;
+    public int kind;
+    public int cell;
+    public Standing standing = Standing.LEFT;
+    public long since;
+    public int cores;
+    public double memory;
+    public double slice;
+    public double bound;
+    /** What this manager has reserved here: MB and threads. */
+    public double reserved;
+    public int threads;
+    public final List<Flight> flights = new ArrayList<>();
+    public Health health = Health.READY;
+    public long rest;
+    public long restUntil;
+    public long heard;
+    public long pressedUntil;
+    public long shrunk;
+    /** Latency over the best of its group. */
+    public final Bins slow = new Bins();
+    /** Tables that a load holds here, and until when it is taken so. */
+    public final Map<Integer, Long> loaded = new HashMap<>();
+    /** Work sent while cold, over the fall window. */
+    public final Tally cold;
+
+    public Engine(int index, Tally cold) {
+        this.cold = cold;
+        this.index = index;
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/state/Flight.java
@@ -0,0 +1,25 @@
+package firstage.state;
+
+/** A dispatch that is out. */
+public final class Flight {
+    public final Batch batch;
+    public final Engine engine;
+    public final int number;
+    public final long sent;
+    public final double grant;
+    /** Share done, by its latest note. */
+    public double share;
+    public boolean shortGrant;
+    public boolean waited;
+    public boolean standsStill;
+    /** Nothing more is expected of it: it was called off, or a copy was asked for. */
+    public boolean givenUp;
+
+    public Flight(Batch batch, Engine engine, int number, long sent, double grant) {
+        this.batch = batch;
+        this.engine = engine;
+        this.number = number;
+        this.sent = sent;
+        this.grant = grant;
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/state/Group.java
@@ -0,0 +1,31 @@
+package firstage.state;
+
+import firstage.door.ServiceGroup;
+
+/** A service group and what was learned of it. */
+public final class Group {
+    public final ServiceGroup is;
+    public final Mean work;
+    public final Mean memory;
+    /** Latency x threads over the batch's figure of work. */
+    public final Bins pace = new Bins();
+    /** The lowest median pace of late. */
+    public double best = Double.MAX_VALUE;
+    public double margin;
+
+    public Group(ServiceGroup is, double margin, int samples) {
+        this.is = is;
+        this.margin = margin;
+        work = new Mean(samples);
+        memory = new Mean(samples);
+    }
+
+    public double best() {
+        return Math.min(best, pace.quantile(0.5));
+    }
+
+    /** Work of a usual batch, as the cold rule weighs it; the goal where nothing is known yet. */
+    public double usualWork() {
+        return work.or(is.goal());
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/state/Turn.java
@@ -0,0 +1,9 @@
+package firstage.state;
+
+import java.util.ArrayDeque;
+
+/** The line of one key. */
+public final class Turn {
+    public final ArrayDeque<Batch> line = new ArrayDeque<>();
+    public long restUntil;
+}
--- /dev/null
+++ b/src/main/java/firstage/state/package-info.java
@@ -0,0 +1,2 @@
+/** What one workload manager remembers. Plain state: it decides nothing and holds no tuned value. */
+package firstage.state;
--- /dev/null
+++ b/src/test/java/firstage/BrainStoriesTest.java
@@ -0,0 +1,195 @@
+package firstage;
+
+import static firstage.FakeHost.LOAD;
+import static firstage.FakeHost.LOOKUP;
+import static firstage.FakeHost.REPORT;
+import static firstage.FakeHost.SECOND;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import firstage.door.EngineList.Standing;
+import firstage.door.Note;
+import firstage.door.Outcome;
+import firstage.door.ServiceGroup.Effect;
+import firstage.door.ServiceGroup.Scope;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class BrainStoriesTest {
+    private final FakeHost host = new FakeHost();
+
+    // ---- Rule 1
+    @Test
+    void withoutEnginesABatchIsHeldAndAnsweredBeforeItsTimeIsUp() {
+        host.start(0).take(1, LOOKUP).take(2, LOAD);
+        assertThat(host.answered(1)).isFalse();
+        host.pass(5 * SECOND);
+        assertThat(host.acts).contains("pushBack 1").doesNotContain("error 1");
+        host.pass(15 * SECOND);
+        assertThat(host.answered(2)).isTrue();
+    }
+
+    @Test
+    void aLateOutcomeOfAClosedBatchSendsNothing() {
+        host.start(2).take(1, LOOKUP);
+        host.brain.clientLeft(host.now, 1);
+        host.end(1, Outcome.NO_CONNECTION).pass(SECOND);
+        assertThat(host.sent(1)).isEqualTo(1);
+        assertThat(host.answered(1)).isFalse();
+        assertThat(host.acts).contains("forget 1");
+    }
+
+    @Test
+    void aFullQueuePushesNewcomersBackAtOnce() {
+        host.start(0);
+        for (int b = 0; b < 100; b++) {
+            host.take(b, REPORT);
+        }
+        assertThat(host.acts.stream().filter(a -> a.startsWith("pushBack"))).hasSizeGreaterThan(50);
+    }
+
+    // ---- Rule 2
+    @Test
+    void aOnceOnlyBatchThatMayHaveRunIsErroredNotRepeated() {
+        host.start(3).take(1, LOAD).end(1, Outcome.BROKEN).pass(SECOND);
+        assertThat(host.sent(1)).isEqualTo(1);
+        assertThat(host.acts).contains("error 1").doesNotContain("pushBack 1");
+    }
+
+    @Test
+    void aOnceOnlyBatchThatNeverRanGoesElsewhere() {
+        host.start(3).take(1, LOAD);
+        int first = host.on(1);
+        host.end(1, Outcome.NO_CONNECTION);
+        assertThat(host.sent(1)).isEqualTo(2);
+        assertThat(host.on(1)).isNotEqualTo(first);
+    }
+
+    @Test
+    void aReferencedBatchStaysInItsCell() {
+        host.loadEffect = Effect.REFERENCED;
+        host.scope = Scope.CELL;
+        host.start(4).take(1, LOAD);
+        int first = host.on(1);
+        host.end(1, Outcome.BROKEN).pass(SECOND / 10);
+        assertThat(host.sent(1)).isEqualTo(2);
+        assertThat(host.on(1) / 2).isEqualTo(first / 2);
+    }
+
+    @Test
+    void aReferencedBatchIsNotRepeatedAfterItsWindow() {
+        host.loadEffect = Effect.REFERENCED;
+        host.start(2).take(1, LOAD).pass(7 * SECOND).end(1, Outcome.BROKEN).pass(SECOND);
+        assertThat(host.sent(1)).isEqualTo(1);
+        assertThat(host.acts).contains("pushBack 1");
+    }
+
+    // ---- Rules 3, 4
+    @Test
+    void nothingGoesToADrainingEngine() {
+        host.start(2).change(0, Standing.LEAVING, 0);
+        for (int b = 0; b < 4; b++) {
+            host.take(b, LOOKUP);
+            assertThat(host.on(b)).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void aColdEngineGetsNoMoreThanItsBudget() {
+        host.managers = 2;
+        host.start(1).change(0, Standing.ACTIVE, host.now);
+        int sent = 0;
+        for (int b = 0; b < 40; b++) {
+            host.take(b, LOOKUP);
+            if (host.sent(b) > 0) {
+                host.end(b, Outcome.RETURNED);
+                sent++;
+            }
+        }
+        // Stands 2 x 0.3 x 8 cores x 0.85 x 2 s = 8.2 s of work from both managers.
+        assertThat(sent).isBetween(1, 20);
+    }
+
+    // ---- Rule 5
+    @Test
+    void batchesOfOneKeyRunInTurnAndTheKeyRestsAfterABreak() {
+        host.start(3).take(1, LOAD, 9, 0, -1).take(2, LOAD, 9, 0, -1).take(3, LOAD, 9, 0, -1);
+        assertThat(host.sent(2)).isZero();
+        host.end(1, Outcome.RETURNED);
+        assertThat(host.sent(2)).isEqualTo(1);
+        host.end(2, Outcome.BROKEN).pass(SECOND / 2 - 200);
+        assertThat(host.sent(3)).isZero();
+        host.pass(400);
+        assertThat(host.sent(3)).isEqualTo(1);
+    }
+
+    // ---- Rules 6, 7
+    @Test
+    void aBoundGroupWaitsRatherThanLeaveItsZone() {
+        host.lookupZones = Set.of(1);
+        host.start(4).change(2, Standing.LEFT, 0).change(3, Standing.LEFT, 0).take(1, LOOKUP).pass(5 * SECOND);
+        assertThat(host.sent(1)).isZero();
+        assertThat(host.answered(1)).isTrue();
+    }
+
+    @Test
+    void furtherDispatchesStayWithinTheBudget() {
+        host.furtherRatio = 0.1;
+        host.start(4);
+        for (int b = 0; b < 10; b++) {
+            host.take(b, LOOKUP).end(b, Outcome.TURNED_AWAY);
+        }
+        // One free and a tenth of ten taken.
+        int further = host.dispatches.values().stream().mapToInt(n -> n - 1).sum();
+        assertThat(further).isBetween(1, 2);
+    }
+
+    // ---- The design's ordinary path
+    @Test
+    void theGrantIsTheEstimateWithAQuarterOnTop() {
+        host.start(1).take(1, LOOKUP, -1, 400, -1);
+        assertThat(host.acts).contains("provide 1 500");
+    }
+
+    @Test
+    void aSpilledGrantTeachesALargerMargin() {
+        host.start(1).take(1, LOOKUP, -1, 400, -1).note(1, Note.Kind.SPILLS, 40).end(1, Outcome.RETURNED);
+        host.take(2, LOOKUP, -1, 400, -1);
+        assertThat(host.acts).doesNotContain("provide 2 500");
+    }
+
+    @Test
+    void underPressureWhatFitsNowhereIsSkippedAndHeldInOrder() {
+        host.start(1).take(1, REPORT).note(1, Note.Kind.WAITS_FOR_MEMORY, 0);
+        for (int b = 2; b < 40; b++) {
+            host.take(b, b % 2 == 0 ? REPORT : LOOKUP);
+        }
+        List<String> sent = host.acts.stream().filter(a -> a.startsWith("dispatch")).toList();
+        assertThat(sent).hasSizeLessThan(20);
+        host.end(1, Outcome.RETURNED);
+        assertThat(host.sent(1)).isEqualTo(1);
+    }
+
+    // ---- Health
+    @Test
+    void anEngineWithoutNotesDrawsNoMoreAndItsRepeatableBatchesGoElsewhere() {
+        host.secondCopies = true;
+        host.start(2).take(1, REPORT);
+        int silent = host.on(1);
+        host.pass(2 * SECOND);
+        assertThat(host.sent(1)).isEqualTo(2);
+        assertThat(host.on(1)).isNotEqualTo(silent);
+        host.take(2, LOAD).take(3, LOAD);
+        assertThat(host.on(2)).isNotEqualTo(silent);
+        assertThat(host.on(3)).isNotEqualTo(silent);
+    }
+
+    @Test
+    void aRunawayIsCalledOffAndSentAgain() {
+        host.callOff = true;
+        host.start(2).take(1, REPORT).pass(SECOND).note(1, Note.Kind.DONE, 0.05);
+        assertThat(host.acts).contains("callOff 1");
+        host.end(1, Outcome.CALLED_OFF);
+        assertThat(host.sent(1)).isEqualTo(2);
+    }
+}
--- /dev/null
+++ b/src/test/java/firstage/FakeHost.java
@@ -0,0 +1,187 @@
+package firstage;
+
+import firstage.door.Arrival;
+import firstage.door.Deployment;
+import firstage.door.Ending;
+import firstage.door.EngineList;
+import firstage.door.EngineList.Entry;
+import firstage.door.EngineList.Standing;
+import firstage.door.Host;
+import firstage.door.Note;
+import firstage.door.Outcome;
+import firstage.door.ServiceGroup;
+import firstage.door.ServiceGroup.Effect;
+import firstage.door.ServiceGroup.Scope;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** A tiny host: it remembers what a brain did, and tells the story's events. Times are tenths of ms. */
+final class FakeHost implements Host {
+    static final long SECOND = 10_000;
+    static final int LOOKUP = 0;
+    static final int REPORT = 1;
+    static final int LOAD = 2;
+    final List<String> acts = new ArrayList<>();
+    final Map<Integer, Integer> dispatches = new HashMap<>();
+    final Map<Integer, Integer> lastEngine = new HashMap<>();
+    Brain brain;
+    long now = 100 * SECOND;
+    // What a story may change before it starts.
+    int managers = 1;
+    boolean callOff;
+    boolean secondCopies;
+    double memoryMb = 16_000;
+    Effect loadEffect = Effect.ONCE_ONLY;
+    Scope scope = Scope.ALL;
+    Set<Integer> lookupZones = Set.of();
+    double furtherRatio = -1;
+    long notePace = SECOND / 2;
+    List<Double> rates = List.of();
+
+    FakeHost start(int engines) {
+        List<ServiceGroup> groups = List.of(
+                group(SECOND, 5 * SECOND, 1, 0, Effect.REPEATABLE, false, 1, lookupZones),
+                group(3 * SECOND, 20 * SECOND, 8, 0.3, Effect.REPEATABLE, false, 2, Set.of()),
+                group(3 * SECOND, 25 * SECOND, 8, 0.5, loadEffect, true, 2, Set.of()));
+        brain = new Brain(new Deployment(7, managers, 0, groups, List.of(new Deployment.Machine(8, memoryMb)),
+                rates, new Deployment.Allowed(callOff, secondCopies, true, true, true, 4, 2 * SECOND),
+                new Deployment.Rules(0.3, 10 * SECOND, 2, 2 * SECOND, SECOND / 2, furtherRatio, 1, 10 * SECOND),
+                0.5, notePace, false, false, false), this);
+        List<Entry> entries = new ArrayList<>();
+        for (int e = 0; e < engines; e++) {
+            entries.add(entry(e, Standing.ACTIVE, 0));
+        }
+        brain.listed(now, new EngineList(EngineList.Kind.REMEMBERED, entries));
+        brain.turn(now);
+        return this;
+    }
+
+    private ServiceGroup group(long goal, long limit, double utility, double late, Effect effect, boolean load,
+                               int threads, Set<Integer> zones) {
+        return new ServiceGroup(goal, 2, limit, utility, late, effect, scope, 6 * SECOND, load, threads, load,
+                !load, zones, Set.of());
+    }
+
+    /** Engines 0 and 1 stand in zone and cell 0, 2 and 3 in 1, and so on. */
+    static Entry entry(int engine, Standing standing, long since) {
+        return new Entry(engine, engine + 1, engine / 2, 0, engine / 2, standing, 1, since);
+    }
+
+    FakeHost change(int engine, Standing standing, long since) {
+        brain.listed(now, new EngineList(EngineList.Kind.CHANGES, List.of(entry(engine, standing, since))));
+        brain.turn(now);
+        return this;
+    }
+
+    FakeHost take(int batch, int group) {
+        return take(batch, group, -1, 0, -1);
+    }
+
+    FakeHost take(int batch, int group, int key, int memory, int customer) {
+        long limit = group == LOOKUP ? 5 * SECOND : 20 * SECOND;
+        brain.taken(now, new Arrival(batch, group, customer, key, now + limit, 2_000, memory, batch, false));
+        brain.turn(now);
+        return this;
+    }
+
+    FakeHost end(int batch, Outcome outcome) {
+        int number = dispatches.get(batch) - 1;
+        brain.ended(now, new Ending(batch, number, lastEngine.get(batch), outcome, 2_000, 0, 0,
+                outcome == Outcome.RETURNED, null));
+        brain.turn(now);
+        return this;
+    }
+
+    FakeHost note(int batch, Note.Kind kind, double amount) {
+        brain.noted(now, new Note(batch, dispatches.get(batch) - 1, lastEngine.get(batch), kind, amount));
+        brain.turn(now);
+        return this;
+    }
+
+    /** Lets time pass in beats of 10 ms. */
+    FakeHost pass(long time) {
+        for (long until = now + time; now < until;) {
+            now += 100;
+            brain.woken(now, 0);
+            brain.turn(now);
+        }
+        return this;
+    }
+
+    int sent(int batch) {
+        return dispatches.getOrDefault(batch, 0);
+    }
+
+    int on(int batch) {
+        return lastEngine.getOrDefault(batch, -1);
+    }
+
+    boolean answered(int batch) {
+        return acts.contains("pushBack " + batch) || acts.contains("error " + batch);
+    }
+
+    @Override
+    public void provide(int batch, int grantMb, int priority) {
+        acts.add("provide " + batch + " " + grantMb);
+    }
+
+    @Override
+    public void dispatch(int batch, int engine, long within) {
+        dispatches.merge(batch, 1, Integer::sum);
+        lastEngine.put(batch, engine);
+        acts.add("dispatch " + batch);
+    }
+
+    @Override
+    public void callOff(int batch, int dispatch) {
+        acts.add("callOff " + batch);
+    }
+
+    @Override
+    public void pushBack(int batch, long comeBack) {
+        acts.add("pushBack " + batch);
+    }
+
+    @Override
+    public void error(int batch) {
+        acts.add("error " + batch);
+    }
+
+    @Override
+    public void forgetBatch(int batch) {
+        acts.add("forget " + batch);
+    }
+
+    @Override
+    public void forgetKey(int key) {
+        acts.add("forgetKey " + key);
+    }
+
+    @Override
+    public void probe(int engine) {
+        acts.add("probe " + engine);
+    }
+
+    @Override
+    public void tellPeers(byte[] words) {
+        acts.add("tellPeers");
+    }
+
+    @Override
+    public void subscribe() {
+        acts.add("subscribe");
+    }
+
+    @Override
+    public void wakeIn(long delay, long token) {
+        acts.add("wake");
+    }
+
+    @Override
+    public void log(String line) {
+        acts.add("log " + line);
+    }
+}
