--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -146,6 +146,7 @@
     private final List<Deployment.Machine> machines;
     private final List<Group> groups = new ArrayList<>();
     private final double share;
+    private final int rank;
     private final int zone;
     private final boolean nearby;
     private final double largestGrant;
@@ -172,6 +173,7 @@
         taken = new Tally(rules.furtherSpan(), PIECES);
         further = new Tally(rules.furtherSpan(), PIECES);
         share = 1.0 / deployment.managers();
+        rank = deployment.rank();
         zone = deployment.zone();
         nearby = deployment.crossingCosts();
         largestGrant = deployment.largestGrant();
@@ -501,12 +503,15 @@
         return best;
     }
 
-    /** From 0 to 1: the same engines read the same tables and keep them warm; loads go where they do not. */
-    private static double nearness(Batch b, Engine e) {
-        long h = (e.mark * 0x9E3779B97F4A7C15L) ^ (b.is.tables() * 0xC2B2AE3D27D4EB4FL);
+    /**
+     * From 0 to 1: readers of the same tables go to the same engines, which keep them warm. Loads of the same
+     * tables spread by manager: one place for all would make each wait for every other manager's.
+     */
+    private double nearness(Batch b, Engine e) {
+        long spread = b.group.is.load() ? rank + 1 : 0;
+        long h = (e.mark + spread * 0x9E3779B9L) * 0x9E3779B97F4A7C15L ^ b.is.tables() * 0xC2B2AE3D27D4EB4FL;
         h = (h ^ (h >>> 29)) * 0xBF58476D1CE4E5B9L;
-        double place = ((h ^ (h >>> 32)) & 0xFFFF) / 65_536.0;
-        return b.group.is.load() ? 1 - place : place;
+        return ((h ^ (h >>> 32)) & 0xFFFF) / 65_536.0;
     }
 
     private static boolean usable(Engine e) {
--- a/src/main/java/firstage/benchlink/Setup.java
+++ b/src/main/java/firstage/benchlink/Setup.java
@@ -51,7 +51,7 @@
                 f.time("rules.key_quiet"), budget ? f.number("rules.further_ratio", 0) : -1,
                 f.number("rules.free_resends", 0), f.time("rules.ratio_span"));
         return new Deployment(f.whole("init_seed", 0), Math.max(1, f.index("group_size", 1)),
-                f.index("zone", 0), groups, machines, rates, allowed, rules,
+                f.index("rank", 0), f.index("zone", 0), groups, machines, rates, allowed, rules,
                 f.number("family_info.largest_share", 1), f.time("family_info.progress_pace"),
                 f.text("discovery", "").equals("subscribe"),
                 f.number("deductions.cross_zone", 0) > 0, f.flag("limits.probing"));
--- a/src/main/java/firstage/door/Deployment.java
+++ b/src/main/java/firstage/door/Deployment.java
@@ -3,8 +3,8 @@
 import java.util.List;
 
 /** What a workload manager is told of its deployment at start; absent figures are 0, lists empty. */
-public record Deployment(long seed, int managers, int zone, List<ServiceGroup> groups, List<Machine> machines,
-                         List<Double> customerRates, Allowed allowed, Rules rules, double largestGrant,
+public record Deployment(long seed, int managers, int rank, int zone, List<ServiceGroup> groups,
+                         List<Machine> machines, List<Double> customerRates, Allowed allowed, Rules rules, double largestGrant,
                          long notePace, boolean asksForList, boolean crossingCosts, boolean probing) {
     public record Machine(int cores, double memoryMb) {
     }
