Pressure from 1.6 times the best latency, judged by the fleet where an engine answered little

Cause: at 2.2 the engines were already past the knee, and a manager with few answers saw nothing. Kept: also catches slowness shared by all engines.

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -13,6 +13,7 @@
 import firstage.door.ServiceGroup.Effect;
 import firstage.door.WorkloadManager;
 import firstage.state.Batch;
+import firstage.state.Bins;
 import firstage.state.Engine;
 import firstage.state.Flight;
 import firstage.state.Group;
@@ -49,8 +50,8 @@
     private static final double LEAST_MARGIN = -0.5;
     private static final double MOST_MARGIN = 3;
     /** Times the best latency: above SLOW an engine is pressed, below CALM its slice and bound may grow. */
-    private static final double SLOW = 2.2;
-    private static final double CALM = 1.6;
+    private static final double SLOW = 1.6;
+    private static final double CALM = 1.25;
     /** Factor of one shrinking step: three steps halve, so one bad second cannot close an engine. */
     private static final double SHRINK = 0.8;
     /** Tenths of ms between two shrinking steps: the last one must show in answers first. */
@@ -86,6 +87,8 @@
     private static final long COME_BACK = 5_000;
     /** Tenths of ms between halvings of an engine's slowness bins: old samples fade in a few seconds. */
     private static final long FADE = 10_000;
+    /** Samples from which an engine's own median is trusted rather than the fleet's. */
+    private static final double ENOUGH = 3;
     /** Samples after which a service group's bins are halved. */
     private static final int GROUP_SAMPLES = 64;
     /** Drift of the best latency a halving: a quiet hour's best must not rule for ever. */
@@ -160,6 +163,7 @@
     private final Map<Integer, Turn> turns = new HashMap<>();
     private final Tally taken;
     private final Tally further;
+    private final Bins fleet = new Bins();
     private long arrivals;
     private long nextBeat;
     private long nextFade;
@@ -275,7 +279,7 @@
                 f.share = Math.max(note.amount(), f.share);
                 if (f.share > 0.05 && b.is.estimate() > 0 && !f.waited) {
                     double whole = (now - f.sent) / f.share * b.group.is.threads();
-                    e.slow.add(whole / b.is.estimate() / b.group.best());
+                    slowed(e, whole / b.is.estimate() / b.group.best());
                 }
             }
             case SPILLS -> f.shortGrant = true;
@@ -614,13 +618,13 @@
         }
         double slowness = truth > 0 ? ratio / g.best() : 1;
         if (!f.waited) {
-            e.slow.add(slowness);
+            slowed(e, slowness);
         }
         if (f.waited || slowness > SLOW) {
-            if (e.slow.quantile(0.5) > SLOW) {
+            if (slowness(e) > SLOW) {
                 shrink(now, e, true);
             }
-        } else if (slowness < CALM && e.slow.quantile(0.5) < CALM) {
+        } else if (slowness < CALM && slowness(e) < CALM) {
             // Both grow only while in use: an idle hour must not open the engine for a burst.
             if (e.threads + threads >= e.bound / 2) {
                 e.bound = Math.min(e.cores * THREADS_PER_CORE, e.bound + threads * GROW);
@@ -631,6 +635,11 @@
         }
     }
 
+    private void slowed(Engine e, double slowness) {
+        e.slow.add(slowness);
+        fleet.add(slowness);
+    }
+
     private void shrink(long now, Engine e, boolean threadsToo) {
         if (now - e.shrunk < SHRINK_GAP) {
             return;
@@ -643,7 +652,12 @@
     }
 
     private boolean pressed(long now, Engine e) {
-        return now < e.pressedUntil || e.slow.total() >= 1 && e.slow.quantile(0.5) > SLOW;
+        return now < e.pressedUntil || slowness(e) > SLOW;
+    }
+
+    /** The median latency over the best; of all engines where this one has answered too little of late. */
+    private double slowness(Engine e) {
+        return (e.slow.total() >= ENOUGH ? e.slow : fleet).quantile(0.5);
     }
 
     private void health(long now, Engine e, News news) {
@@ -665,6 +679,7 @@
     private void watch(long now) {
         boolean fade = now >= nextFade;
         if (fade) {
+            fleet.halve();
             for (int c = 0; c < customerTokens.length; c++) {
                 double refill = customerRate[c] * FADE;
                 customerTokens[c] = Math.min(2 * refill, customerTokens[c] + refill);
