--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -21,6 +21,7 @@
 import firstage.state.Tally;
 import firstage.state.Turn;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -87,8 +88,10 @@
     private static final long COME_BACK = 5_000;
     /** Tenths of ms between halvings of an engine's slowness bins: old samples fade in a few seconds. */
     private static final long FADE = 10_000;
+    /** Tenths of ms of its share a customer may use at once: bursts of seconds are no abuse of a share. */
+    private static final long CUSTOMER_SPAN = 50_000;
     /** Samples from which an engine's own median is trusted rather than the fleet's. */
-    private static final double ENOUGH = 3;
+    private static final double ENOUGH = 12;
     /** Samples after which a service group's bins are halved. */
     private static final int GROUP_SAMPLES = 64;
     /** Drift of the best latency a halving: a quiet hour's best must not rule for ever. */
@@ -185,7 +188,7 @@
         silentAfter = notePace > 0 ? (long) (notePace * NOTES_MISSED) : SILENT_WITHOUT_NOTES;
         subscribe = deployment.asksForList();
         customerRate = deployment.customerRates().stream().mapToDouble(r -> r * share / 10_000).toArray();
-        customerTokens = new double[customerRate.length];
+        customerTokens = Arrays.stream(customerRate).map(r -> r * CUSTOMER_SPAN).toArray();
         for (ServiceGroup is : deployment.groups()) {
             groups.add(new Group(is, FIRST_MARGIN, GROUP_SAMPLES));
         }
@@ -284,6 +287,8 @@
             }
             case SPILLS -> f.shortGrant = true;
             case WAITS_FOR_MEMORY -> {
+                // Memory that others wait for was granted too freely: margins give way before batches do.
+                b.group.margin = Math.max(LEAST_MARGIN, b.group.margin - (f.waited ? 0 : MARGIN_DOWN * 2));
                 f.waited = true;
                 press(now, e);
                 shrink(now, e, false);
@@ -681,8 +686,8 @@
         if (fade) {
             fleet.halve();
             for (int c = 0; c < customerTokens.length; c++) {
-                double refill = customerRate[c] * FADE;
-                customerTokens[c] = Math.min(2 * refill, customerTokens[c] + refill);
+                double most = customerRate[c] * CUSTOMER_SPAN;
+                customerTokens[c] = Math.min(most, customerTokens[c] + customerRate[c] * FADE);
             }
             nextFade = now + FADE;
         }
