--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -94,6 +94,8 @@
     private static final double ENOUGH = 12;
     /** Samples after which a service group's bins are halved. */
     private static final int GROUP_SAMPLES = 64;
+    /** Best latency over the estimate until shown better: a manager restarted in a jam must not learn it as calm. */
+    private static final double FIRST_BEST = 1.5;
     /** Drift of the best latency a halving: a quiet hour's best must not rule for ever. */
     private static final double BEST_DRIFT = 1.05;
     /** Pieces into which a rule's window is cut: what is in doubt is counted so that the rule is kept. */
@@ -190,7 +192,7 @@
         customerRate = deployment.customerRates().stream().mapToDouble(r -> r * share / 10_000).toArray();
         customerTokens = Arrays.stream(customerRate).map(r -> r * CUSTOMER_SPAN).toArray();
         for (ServiceGroup is : deployment.groups()) {
-            groups.add(new Group(is, FIRST_MARGIN, GROUP_SAMPLES));
+            groups.add(new Group(is, FIRST_MARGIN, FIRST_BEST, GROUP_SAMPLES));
         }
     }
 
@@ -602,7 +604,11 @@
         Engine e = f.engine;
         int threads = g.is.threads();
         double truth = ending.work() > 0 ? ending.work() : b.is.estimate();
-        double ratio = truth > 0 ? (double) ending.took() * threads / truth : 1;
+        if (truth <= 0) {
+            // Neither told nor estimated: a usual batch should need no more than half its goal.
+            truth = g.is.goal() * threads / 2.0;
+        }
+        double ratio = ending.took() * threads / truth;
         if (!f.waited) {
             g.pace.add(ratio);
             if (g.pace.total() >= GROUP_SAMPLES) {
@@ -621,7 +627,7 @@
         if (ending.memoryMb() > 0) {
             g.memory.add(ending.memoryMb());
         }
-        double slowness = truth > 0 ? ratio / g.best() : 1;
+        double slowness = ratio / g.best();
         if (!f.waited) {
             slowed(e, slowness);
         }
--- a/src/main/java/firstage/state/Group.java
+++ b/src/main/java/firstage/state/Group.java
@@ -10,18 +10,19 @@
     /** Latency x threads over the batch's figure of work. */
     public final Bins pace = new Bins();
     /** The lowest median pace of late. */
-    public double best = Double.MAX_VALUE;
+    public double best;
     public double margin;
 
-    public Group(ServiceGroup is, double margin, int samples) {
+    public Group(ServiceGroup is, double margin, double best, int samples) {
         this.is = is;
         this.margin = margin;
+        this.best = best;
         work = new Mean(samples);
         memory = new Mean(samples);
     }
 
     public double best() {
-        return Math.min(best, pace.quantile(0.5));
+        return pace.total() > 0 ? Math.min(best, pace.quantile(0.5)) : best;
     }
 
     /** Work of a usual batch, as the cold rule weighs it; the goal where nothing is known yet. */
