--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -47,8 +47,8 @@
     /** Margin added after a short grant and taken after an ample one: about one in eight comes out short. */
     private static final double MARGIN_UP = 0.14;
     private static final double MARGIN_DOWN = 0.02;
-    /** Bounds of the margin: estimates may lie high by half, or low by four times. */
-    private static final double LEAST_MARGIN = -0.5;
+    /** Bounds of the margin: below the figure itself spilling feeds on itself; estimates may lie low by four. */
+    private static final double LEAST_MARGIN = 0;
     private static final double MOST_MARGIN = 3;
     /** Times the best latency: above SLOW an engine is pressed, below CALM its slice and bound may grow. */
     private static final double SLOW = 1.6;
@@ -240,6 +240,9 @@
         }
         if (how == Outcome.TURNED_AWAY) {
             press(now, e);
+        } else if (how == Outcome.TIMED_OUT) {
+            // Where nothing comes back no answer could tell of the jam: a time-out counts as a slow answer.
+            slowed(e, (now - f.sent) * b.group.is.threads() / expectedWork(b));
         }
         if (how == Outcome.RETURNED) {
             learn(now, f, ending);
@@ -631,11 +634,7 @@
         if (!f.waited) {
             slowed(e, slowness);
         }
-        if (f.waited || slowness > SLOW) {
-            if (slowness(e) > SLOW) {
-                shrink(now, e, true);
-            }
-        } else if (slowness < CALM && slowness(e) < CALM) {
+        if (slowness < CALM && slowness(e) < CALM) {
             // Both grow only while in use: an idle hour must not open the engine for a burst.
             if (e.threads + threads >= e.bound / 2) {
                 e.bound = Math.min(e.cores * THREADS_PER_CORE, e.bound + threads * GROW);
@@ -702,6 +701,9 @@
                 continue;
             }
             if (fade) {
+                if (slowness(e) > SLOW) {
+                    shrink(now, e, true);
+                }
                 e.slow.halve();
             }
             if (now >= e.restUntil) {
