--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -635,11 +635,11 @@
             slowed(e, slowness);
         }
         if (slowness < CALM && slowness(e) < CALM) {
-            // Both grow only while in use: an idle hour must not open the engine for a burst.
-            if (e.threads + threads >= e.bound / 2) {
+            // Both grow only while they hold something back: a calm hour must not open the engine for a burst.
+            if (!held.isEmpty() && e.threads + threads >= e.bound / 2) {
                 e.bound = Math.min(e.cores * THREADS_PER_CORE, e.bound + threads * GROW);
             }
-            if (e.reserved + f.grant >= e.slice / 2) {
+            if (!held.isEmpty() && e.reserved + f.grant >= e.slice / 2) {
                 e.slice = Math.min(e.memory, e.slice + f.grant * GROW);
             }
         }
