--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -48,7 +48,7 @@
     private static final double MARGIN_UP = 0.14;
     private static final double MARGIN_DOWN = 0.02;
     /** Bounds of the margin: below the figure itself spilling feeds on itself; estimates may lie low by four. */
-    private static final double LEAST_MARGIN = 0;
+    private static final double LEAST_MARGIN = -0.25;
     private static final double MOST_MARGIN = 3;
     /** Times the best latency: above SLOW an engine is pressed, below CALM its slice and bound may grow. */
     private static final double SLOW = 1.6;
@@ -95,7 +95,7 @@
     /** Samples after which a service group's bins are halved. */
     private static final int GROUP_SAMPLES = 64;
     /** Best latency over the estimate until shown better: a manager restarted in a jam must not learn it as calm. */
-    private static final double FIRST_BEST = 1.5;
+    private static final double FIRST_BEST = 2.5;
     /** Drift of the best latency a halving: a quiet hour's best must not rule for ever. */
     private static final double BEST_DRIFT = 1.05;
     /** Pieces into which a rule's window is cut: what is in doubt is counted so that the rule is kept. */
@@ -635,11 +635,11 @@
             slowed(e, slowness);
         }
         if (slowness < CALM && slowness(e) < CALM) {
-            // Both grow only while they hold something back: a calm hour must not open the engine for a burst.
-            if (!held.isEmpty() && e.threads + threads >= e.bound / 2) {
+            // Both grow only while in use: an idle hour must not open the engine for a burst.
+            if (e.threads + threads >= e.bound / 2) {
                 e.bound = Math.min(e.cores * THREADS_PER_CORE, e.bound + threads * GROW);
             }
-            if (!held.isEmpty() && e.reserved + f.grant >= e.slice / 2) {
+            if (e.reserved + f.grant >= e.slice / 2) {
                 e.slice = Math.min(e.memory, e.slice + f.grant * GROW);
             }
         }
