--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -242,7 +242,7 @@
             press(now, e);
         } else if (how == Outcome.TIMED_OUT) {
             // Where nothing comes back no answer could tell of the jam: a time-out counts as a slow answer.
-            slowed(e, (now - f.sent) * b.group.is.threads() / expectedWork(b));
+            slowed(now, e, (now - f.sent) * b.group.is.threads() / expectedWork(b));
         }
         if (how == Outcome.RETURNED) {
             learn(now, f, ending);
@@ -287,7 +287,7 @@
                 f.share = Math.max(note.amount(), f.share);
                 if (f.share > 0.05 && b.is.estimate() > 0 && !f.waited) {
                     double whole = (now - f.sent) / f.share * b.group.is.threads();
-                    slowed(e, whole / b.is.estimate() / b.group.best());
+                    slowed(now, e, whole / b.is.estimate() / b.group.best());
                 }
             }
             case SPILLS -> f.shortGrant = true;
@@ -422,11 +422,10 @@
         return (int) Math.max(HELD_PER_CORE, cores * share * HELD_PER_CORE);
     }
 
-    /** The queue's time-out: the last moment at which a dispatch could still earn something. */
+    /** The queue's time-out: the last moment at which a dispatch could still make the goal. */
     private long giveUpAt(Batch b) {
-        long run = (long) (expectedWork(b) / b.group.is.threads());
-        long worthless = b.group.is.lateValue() > 0 ? b.is.notAfter() : b.goalAt;
-        return Math.min(b.is.notAfter() - LAST_CALL, worthless - run);
+        double run = expectedWork(b) / b.group.is.threads() * Math.max(1, fleet.quantile(0.5));
+        return Math.min(b.is.notAfter() - LAST_CALL, b.goalAt - (long) run);
     }
 
     private void send(long now, Batch b, Engine e) {
@@ -632,7 +631,7 @@
         }
         double slowness = ratio / g.best();
         if (!f.waited) {
-            slowed(e, slowness);
+            slowed(now, e, slowness);
         }
         if (slowness < CALM && slowness(e) < CALM) {
             // Both grow only while in use: an idle hour must not open the engine for a burst.
@@ -645,9 +644,10 @@
         }
     }
 
-    private void slowed(Engine e, double slowness) {
-        e.slow.add(slowness);
-        fleet.add(slowness);
+    /** A cold engine is slow by nature: that is no pressure, and least of all on the others. */
+    private void slowed(long now, Engine e, double slowness) {
+        e.slow.add(slowness * cold(now, e));
+        fleet.add(slowness * cold(now, e));
     }
 
     private void shrink(long now, Engine e, boolean threadsToo) {
