--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -96,8 +96,8 @@
     private static final int GROUP_SAMPLES = 64;
     /** Best latency over the estimate until shown better: a manager restarted in a jam must not learn it as calm. */
     private static final double FIRST_BEST = 2.5;
-    /** Drift of the best latency a halving: a quiet hour's best must not rule for ever. */
-    private static final double BEST_DRIFT = 1.05;
+    /** Drift of the best latency a FADE: an old best fades in minutes, long after a jam should have cleared. */
+    private static final double BEST_DRIFT = 1.002;
     /** Pieces into which a rule's window is cut: what is in doubt is counted so that the rule is kept. */
     private static final int PIECES = 20;
 
@@ -422,10 +422,11 @@
         return (int) Math.max(HELD_PER_CORE, cores * share * HELD_PER_CORE);
     }
 
-    /** The queue's time-out: the last moment at which a dispatch could still make the goal. */
+    /** The queue's time-out: the last moment at which a dispatch could still earn something. */
     private long giveUpAt(Batch b) {
-        double run = expectedWork(b) / b.group.is.threads() * Math.max(1, fleet.quantile(0.5));
-        return Math.min(b.is.notAfter() - LAST_CALL, b.goalAt - (long) run);
+        long run = (long) (expectedWork(b) / b.group.is.threads());
+        long worthless = b.group.is.lateValue() > 0 ? b.is.notAfter() : b.goalAt;
+        return Math.min(b.is.notAfter() - LAST_CALL, worthless - run);
     }
 
     private void send(long now, Batch b, Engine e) {
@@ -614,8 +615,7 @@
         if (!f.waited) {
             g.pace.add(ratio);
             if (g.pace.total() >= GROUP_SAMPLES) {
-                double median = g.pace.quantile(0.5);
-                g.best = Math.min(g.best * BEST_DRIFT, median);
+                g.best = g.best();
                 g.pace.halve();
             }
         }
@@ -690,6 +690,9 @@
         boolean fade = now >= nextFade;
         if (fade) {
             fleet.halve();
+            for (Group g : groups) {
+                g.best *= BEST_DRIFT;
+            }
             for (int c = 0; c < customerTokens.length; c++) {
                 double most = customerRate[c] * CUSTOMER_SPAN;
                 customerTokens[c] = Math.min(most, customerTokens[c] + customerRate[c] * FADE);
