--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -59,8 +59,8 @@
     private static final long SHRINK_GAP = 7_000;
     /** Share of a returned batch's threads and grant by which bound and slice grow: they double in seconds. */
     private static final double GROW = 0.5;
-    /** Tenths of ms for which a wait for memory, a busy report or a full refusal counts as pressure. */
-    private static final long PRESSED = 15_000;
+    /** Tenths of ms pressure outlives its last sign: managers that open all at once would flood the engine. */
+    private static final long PRESSED = 40_000;
     /** Held batches per core of this manager's part of the engines: what they clear in a response goal. */
     private static final double HELD_PER_CORE = 4;
     /** Progress notes missed in a row before an engine counts as silent: two may be late, three are not. */
@@ -705,6 +705,7 @@
             }
             if (fade) {
                 if (slowness(e) > SLOW) {
+                    press(now, e);
                     shrink(now, e, true);
                 }
                 e.slow.halve();
