--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -37,69 +37,40 @@
  * memory, and its threads under an adaptive bound, or waits in a bounded FIFO queue until there is room.
  */
 public final class Brain implements WorkloadManager {
-    // ---- Constants: unit, and why this size.
-    /** Share of an engine's memory all slices start from; RFC 0058 3.2 gives 0.75 to a process of its own. */
-    private static final double POOL_SHARE = 0.75;
-    /** Threads a core all bounds start from (design): past one or two an engine does less in total. */
-    private static final double THREADS_PER_CORE = 2;
-    /** First margin over a memory figure (design): a quarter. */
-    private static final double FIRST_MARGIN = 0.25;
-    /** Margin added after a short grant and taken after an ample one: about one in eight comes out short. */
-    private static final double MARGIN_UP = 0.14;
-    private static final double MARGIN_DOWN = 0.02;
-    /** Bounds of the margin: below the figure itself spilling feeds on itself; estimates may lie low by four. */
-    private static final double LEAST_MARGIN = -0.25;
-    private static final double MOST_MARGIN = 3;
-    /** Times the best latency: above SLOW an engine is pressed, below CALM its slice and bound may grow. */
-    private static final double SLOW = 1.6;
-    private static final double CALM = 1.25;
-    /** Factor of one shrinking step: three steps halve, so one bad second cannot close an engine. */
-    private static final double SHRINK = 0.8;
-    /** Tenths of ms between two shrinking steps: the last one must show in answers first. */
-    private static final long SHRINK_GAP = 7_000;
-    /** Share of a returned batch's threads and grant by which bound and slice grow: they double in seconds. */
-    private static final double GROW = 0.5;
-    /** Tenths of ms pressure outlives its last sign: managers that open all at once would flood the engine. */
-    private static final long PRESSED = 40_000;
-    /** Held batches per core of this manager's part of the engines: what they clear in a response goal. */
-    private static final double HELD_PER_CORE = 4;
-    /** Progress notes missed in a row before an engine counts as silent: two may be late, three are not. */
-    private static final double NOTES_MISSED = 2.6;
-    /** Tenths of ms without any word that count as silent where there are no notes. */
-    private static final long SILENT_WITHOUT_NOTES = 40_000;
-    /** Tenths of ms an engine rests before its first trial; doubled to at most MOST_REST. */
-    private static final long FIRST_REST = 10_000;
-    private static final long MOST_REST = 80_000;
-    /** Share of what the cold rule allows that this manager uses: others and chance need the rest. */
-    private static final double COLD_SAFETY = 0.6;
-    /** How fast a cold engine is taken to warm, against a straight line: the true course is not told. */
-    private static final double WARMING = 0.5;
-    /** Busy share of the cores at capacity, as load is reckoned for the cold rule. */
-    private static final double FULL = 0.85;
-    /** A dispatch that will take this many times a fresh one is a runaway: few plain ones vary so much. */
-    private static final double RUNAWAY = 3;
-    /** Tenths of ms between looks at timers of our own: well under the slack for a final answer. */
-    private static final long BEAT = 100;
-    /** Tenths of ms before the client's limit at which a held batch is answered: two beats. */
-    private static final long LAST_CALL = 300;
-    /** Steps of free room that count as alike in choosing an engine; inside one, nearness decides. */
-    private static final double ROOM_STEPS = 4;
-    /** Tenths of ms a pushed back client should stay away: a queue clears about half its length in it. */
-    private static final long COME_BACK = 5_000;
-    /** Tenths of ms between halvings of an engine's slowness bins: old samples fade in a few seconds. */
-    private static final long FADE = 10_000;
-    /** Tenths of ms of its share a customer may use at once: bursts of seconds are no abuse of a share. */
-    private static final long CUSTOMER_SPAN = 50_000;
-    /** Samples from which an engine's own median is trusted rather than the fleet's. */
-    private static final double ENOUGH = 12;
-    /** Samples after which a service group's bins are halved. */
-    private static final int GROUP_SAMPLES = 64;
-    /** Best latency over the estimate until shown better: a manager restarted in a jam must not learn it as calm. */
-    private static final double FIRST_BEST = 2.5;
-    /** Drift of the best latency a FADE: an old best fades in minutes, long after a jam should have cleared. */
-    private static final double BEST_DRIFT = 1.002;
-    /** Pieces into which a rule's window is cut: what is in doubt is counted so that the rule is kept. */
-    private static final int PIECES = 20;
+    // ---- Constants: unit, and why this size. Times are in tenths of a millisecond.
+    private static final double POOL_SHARE = 0.75; // of an engine's memory: a lone process in RFC 0058 3.2
+    private static final double THREADS_PER_CORE = 2; // all bounds together (design): past it less gets done
+    private static final double FIRST_MARGIN = 0.25; // over a memory figure (design): a quarter
+    private static final double MARGIN_UP = 0.14; // for a short grant, against ...
+    private static final double MARGIN_DOWN = 0.02; // ... for an ample one: one in eight comes out short
+    private static final double LEAST_MARGIN = -0.25; // much below the figure, spilling feeds on itself
+    private static final double MOST_MARGIN = 3; // estimates may lie low by four times
+    private static final double SLOW = 1.6; // times the best latency: pressed, still short of the knee
+    private static final double CALM = 1.25; // times the best latency: slice and bound may grow
+    private static final double SHRINK = 0.8; // a step's factor: three halve, one bad second closes nothing
+    private static final long SHRINK_GAP = 7_000; // between steps: the last one must show in answers first
+    private static final double GROW = 0.5; // of a clean answer's threads and grant: doubles in seconds
+    private static final long PRESSED = 40_000; // pressure outlives its last sign: no flood when a jam eases
+    private static final double HELD_PER_CORE = 4; // batches, on our part of the cores: what a goal clears
+    private static final double NOTES_MISSED = 2.6; // paces without a word: two may be late, three are not
+    private static final long SILENT_WITHOUT_NOTES = 40_000; // long against usual work, short against limits
+    private static final long FIRST_REST = 10_000; // before the first trial of an engine; doubled up to ...
+    private static final long MOST_REST = 80_000; // ... this: a trial costs one batch
+    private static final double COLD_SAFETY = 0.6; // of the cold budget: others and chance need the rest
+    private static final double WARMING = 0.5; // of a straight line: how an engine warms is not told
+    private static final double FULL = 0.85; // busy share of the cores at capacity, as the cold rule reckons
+    private static final double RUNAWAY = 3; // times a fresh run still ahead: few plain ones vary so
+    private static final long BEAT = 100; // between looks at our own timers: under the slack for an answer
+    private static final long LAST_CALL = 300; // before its limit a held batch is answered: two beats
+    private static final double ROOM_STEPS = 4; // of a slice that count as alike: there nearness decides
+    private static final long COME_BACK = 5_000; // a client should stay away: half a queue clears in it
+    private static final long FADE = 10_000; // between halvings of slowness: old samples are gone in seconds
+    private static final long CUSTOMER_SPAN = 50_000; // of its share may be used at once: bursts are no abuse
+    private static final double ENOUGH = 12; // samples before an engine's own median counts, not the fleet's
+    private static final int GROUP_SAMPLES = 64; // after which a group's measurements are halved
+    private static final double FIRST_BEST = 2.5; // latency over estimate: a first jam must not pass as calm
+    private static final double BEST_DRIFT = 1.002; // a FADE: an old best fades in minutes, after any jam
+    private static final int PIECES = 20; // of a rule's window: what is in doubt is counted on the safe side
 
     // ---- Tables.
     private enum News { ANSWER, SIGN, UNREACHED, BROKE, QUIET, RESTED, RESTARTED }
@@ -359,11 +330,6 @@
         report(now, engine(index), report);
     }
 
-    @Override
-    public void peerSaid(long now, int peer, byte[] words) {
-        // Peers are not asked for anything yet: what passes through is enough to decide by.
-    }
-
     @Override
     public void woken(long now, long token) {
         nextBeat = 0;
@@ -522,10 +488,7 @@
      * tables spread by manager: one place for all would make each wait for every other manager's.
      */
     private double nearness(Batch b, Engine e) {
-        long spread = b.group.is.load() ? rank + 1 : 0;
-        long h = (e.mark + spread * 0x9E3779B9L) * 0x9E3779B97F4A7C15L ^ b.is.tables() * 0xC2B2AE3D27D4EB4FL;
-        h = (h ^ (h >>> 29)) * 0xBF58476D1CE4E5B9L;
-        return ((h ^ (h >>> 32)) & 0xFFFF) / 65_536.0;
+        return e.affinity(b.is.tables(), b.group.is.load() ? rank + 1 : 0);
     }
 
     private static boolean usable(Engine e) {
--- a/src/main/java/firstage/door/WorkloadManager.java
+++ b/src/main/java/firstage/door/WorkloadManager.java
@@ -15,7 +15,9 @@
 
     void probed(long now, int engine, Outcome outcome, Report report);
 
-    void peerSaid(long now, int peer, byte[] words);
+    /** A message of another manager; one that does not talk to its peers leaves it. */
+    default void peerSaid(long now, int peer, byte[] words) {
+    }
 
     void woken(long now, long token);
 
