--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -485,10 +485,10 @@
 
     /**
      * From 0 to 1: readers of the same tables go to the same engines, which keep them warm. Loads of the same
-     * tables spread by manager: one place for all would make each wait for every other manager's.
+     * tables go to a new place each: one place for all would make each wait for every other manager's.
      */
     private double nearness(Batch b, Engine e) {
-        return e.affinity(b.is.tables(), b.group.is.load() ? rank + 1 : 0);
+        return e.affinity(b.is.tables(), b.group.is.load() ? (int) b.order * 64 + rank + 1 : 0);
     }
 
     private static boolean usable(Engine e) {
