Managers divide the engines for loads of the same tables by their numbers

Cause: loads of one tables group stood still behind other managers' loads on the same engine. Hurts where one manager takes most loads: its place fills, then free room decides as before.

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -63,6 +63,7 @@
     private static final long BEAT = 100; // between looks at our own timers: under the slack for an answer
     private static final long LAST_CALL = 300; // before its limit a held batch is answered: two beats
     private static final double ROOM_STEPS = 4; // of a slice that count as alike: there nearness decides
+    private static final double OWN_PLACE = 30; // in steps of rank: above any free room, below fitting
     private static final long COME_BACK = 5_000; // a client should stay away: half a queue clears in it
     private static final long FADE = 10_000; // between halvings of slowness: old samples are gone in seconds
     private static final long CUSTOMER_SPAN = 50_000; // of its share may be used at once: bursts are no abuse
@@ -126,6 +127,7 @@
     private final List<Group> groups = new ArrayList<>();
     private final double share;
     private final int rank;
+    private final int managers;
     private final int zone;
     private final boolean nearby;
     private final double largestGrant;
@@ -154,6 +156,7 @@
         further = new Tally(rules.furtherSpan(), PIECES);
         share = 1.0 / deployment.managers();
         rank = deployment.rank();
+        managers = deployment.managers();
         zone = deployment.zone();
         nearby = deployment.crossingCosts();
         largestGrant = deployment.largestGrant();
@@ -484,11 +487,24 @@
     }
 
     /**
-     * From 0 to 1: readers of the same tables go to the same engines, which keep them warm. Loads of the same
-     * tables go to a new place each: one place for all would make each wait for every other manager's.
+     * Readers of the same tables go to the same engines, which keep them warm. Loads of the same tables stand
+     * still for each other, and no manager sees another's: they divide the engines, from the coldest for these
+     * tables on, by the managers' numbers, and that outweighs free room.
      */
     private double nearness(Batch b, Engine e) {
-        return e.affinity(b.is.tables(), b.group.is.load() ? (int) b.order * 64 + rank + 1 : 0);
+        double affinity = e.affinity(b.is.tables());
+        if (!b.group.is.load() || b.is.tables() < 0) {
+            return affinity;
+        }
+        int place = 0;
+        int count = 0;
+        for (Engine other : engines) {
+            if (other != null && other.standing == Standing.ACTIVE) {
+                count++;
+                place += other.affinity(b.is.tables()) < affinity ? 1 : 0;
+            }
+        }
+        return (place - rank) % Math.min(managers, count) == 0 ? OWN_PLACE : 0;
     }
 
     private static boolean usable(Engine e) {
--- a/src/main/java/firstage/state/Engine.java
+++ b/src/main/java/firstage/state/Engine.java
@@ -41,9 +41,9 @@
         this.index = index;
     }
 
-    /** A number from 0 to 1, the same at every manager, that mixes this engine with the tables and a salt. */
-    public double affinity(int tables, int salt) {
-        long h = (mark + salt * 0x9E3779B9L) * 0x9E3779B97F4A7C15L ^ tables * 0xC2B2AE3D27D4EB4FL;
+    /** A number from 0 to 1, the same at every manager, that mixes this engine with the tables. */
+    public double affinity(int tables) {
+        long h = mark * 0x9E3779B97F4A7C15L ^ tables * 0xC2B2AE3D27D4EB4FL;
         h = (h ^ (h >>> 29)) * 0xBF58476D1CE4E5B9L;
         return ((h ^ (h >>> 32)) & 0xFFFF) / 65_536.0;
     }
