--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -63,6 +63,7 @@
     private static final long BEAT = 100; // between looks at our own timers: under the slack for an answer
     private static final long LAST_CALL = 300; // before its limit a held batch is answered: two beats
     private static final double ROOM_STEPS = 4; // of a slice that count as alike: there nearness decides
+    private static final int FIRST_RANK = 3; // the priority of what pays best for its work
     private static final double OWN_PLACE = 30; // in steps of rank: above any free room, below fitting
     private static final long COME_BACK = 5_000; // a client should stay away: half a queue clears in it
     private static final long FADE = 10_000; // between halvings of slowness: old samples are gone in seconds
@@ -432,7 +433,7 @@
             top = Math.max(top, g.is.utility() / g.usualWork());
         }
         double rate = b.group.is.utility() / Math.max(1, expectedWork(b)) / top;
-        return rate >= 0.4 ? 3 : rate >= 0.1 || b.group.is.load() ? 2 : rate >= 0.03 ? 1 : 0;
+        return rate >= 0.4 ? FIRST_RANK : rate >= 0.1 || b.group.is.load() ? 2 : rate >= 0.03 ? 1 : 0;
     }
 
     /** The told estimate or the mean true memory, with the margin; else half a core's memory a thread. */
@@ -468,7 +469,7 @@
             double warm = cold(now, e);
             double grant = grant(b, e);
             int threads = b.group.is.threads();
-            boolean fits = e.flights.isEmpty() || e.reserved + grant <= e.slice * warm
+            boolean fits = lone(b, e) || e.reserved + grant <= e.slice * warm
                     && e.threads + threads <= e.bound * warm;
             boolean easy = warm >= 1 && !pressed(now, e) && e.reserved + grant <= e.memory
                     && e.threads + threads <= e.cores * THREADS_PER_CORE;
@@ -486,6 +487,22 @@
         return best;
     }
 
+    /**
+     * One batch may run where nothing of ours is out. So may one of the first rank where none of that rank is:
+     * in a burst, long batches would fill every bound and the many short ones would starve behind them.
+     */
+    private boolean lone(Batch b, Engine e) {
+        if (e.flights.isEmpty()) {
+            return true;
+        }
+        for (Flight f : e.flights) {
+            if (priority(f.batch) == FIRST_RANK) {
+                return false;
+            }
+        }
+        return priority(b) == FIRST_RANK;
+    }
+
     /**
      * Readers of the same tables go to the same engines, which keep them warm. Loads of the same tables stand
      * still for each other, and no manager sees another's: they divide the engines, from the coldest for these
@@ -607,6 +624,11 @@
         }
         if (ending.memoryMb() > 0) {
             g.memory.add(ending.memoryMb());
+            if (f.shortGrant && ending.memoryMb() <= f.grant) {
+                // It needed no more than was named, yet spilled: the engine had no more to give.
+                press(now, e);
+                shrink(now, e, false);
+            }
         }
         double slowness = ratio / g.best();
         if (!f.waited) {
