Customers beyond their share may fill a fifth of the queue

Simpler than the test for all engines pressed, which is gone. May hurt a customer whose other managers are down, for the seconds of its stored share.

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -63,6 +63,7 @@
     private static final long BEAT = 100; // between looks at our own timers: under the slack for an answer
     private static final long LAST_CALL = 300; // before its limit a held batch is answered: two beats
     private static final double ROOM_STEPS = 4; // of a slice that count as alike: there nearness decides
+    private static final double OVER_SHARE_ROOM = 0.2; // of the queue for customers beyond their share
     private static final int FIRST_RANK = 3; // the priority of what pays best for its work
     private static final double OWN_PLACE = 30; // in steps of rank: above any free room, below fitting
     private static final long COME_BACK = 5_000; // a client should stay away: half a queue clears in it
@@ -362,7 +363,7 @@
             if (e != null) {
                 send(now, b, e);
             } else if (now >= giveUpAt(b)
-                    || b.dispatches == 0 && (held.size() > room() || b.overShare && pressed(now))) {
+                    || b.dispatches == 0 && held.size() > room() * (b.overShare ? OVER_SHARE_ROOM : 1)) {
                 held.remove(b.order);
                 if (b.out.isEmpty()) {
                     giveUp(b);
@@ -375,15 +376,6 @@
         }
     }
 
-    private boolean pressed(long now) {
-        for (Engine e : engines) {
-            if (e != null && usable(e) && !pressed(now, e)) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     private int room() {
         double cores = 0;
         for (Engine e : engines) {
