--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -461,8 +461,8 @@
             double warm = cold(now, e);
             double grant = grant(b, e);
             int threads = b.group.is.threads();
-            boolean fits = lone(b, e) || e.reserved + grant <= e.slice * warm
-                    && e.threads + threads <= e.bound * warm;
+            boolean fits = e.flights.isEmpty() || e.reserved + grant <= e.slice * warm
+                    && (e.threads + threads <= e.bound * warm || first(b) && !hasFirst(e));
             boolean easy = warm >= 1 && !pressed(now, e) && e.reserved + grant <= e.memory
                     && e.threads + threads <= e.cores * THREADS_PER_CORE;
             if (!fits && !easy) {
@@ -479,20 +479,21 @@
         return best;
     }
 
+    private boolean first(Batch b) {
+        return priority(b) == FIRST_RANK;
+    }
+
     /**
-     * One batch may run where nothing of ours is out. So may one of the first rank where none of that rank is:
-     * in a burst, long batches would fill every bound and the many short ones would starve behind them.
+     * One batch of the first rank may run past the bound, as one of any rank may where nothing is out: in a
+     * burst, long batches would fill every bound and the many short ones would starve behind them.
      */
-    private boolean lone(Batch b, Engine e) {
-        if (e.flights.isEmpty()) {
-            return true;
-        }
+    private boolean hasFirst(Engine e) {
         for (Flight f : e.flights) {
-            if (priority(f.batch) == FIRST_RANK) {
-                return false;
+            if (first(f.batch)) {
+                return true;
             }
         }
-        return priority(b) == FIRST_RANK;
+        return false;
     }
 
     /**
