--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -469,7 +469,7 @@
             if (!fits && !easy) {
                 continue;
             }
-            double free = (e.slice * warm - e.reserved) / e.slice;
+            double free = (e.slice * warm - e.reserved) / (e.memory * POOL_SHARE * share);
             double rank = (fits ? 100 : 0) + Math.max(-20, Math.floor(free * ROOM_STEPS)) * 2
                     + (nearby && e.zone == zone ? 1 : 0) + nearness(b, e) - (e == b.last ? 50 : 0);
             if (rank > bestRank) {
