Where answers tell the true work, the best latency is that work on free cores

Told from a slow fleet: latency x threads over true work was 1.5 even at its lowest tenth, 26 to 30 threads an engine. Also catches restarts in a jam.

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -73,6 +73,7 @@
     private static final double ENOUGH = 12; // samples before an engine's own median counts, not the fleet's
     private static final int GROUP_SAMPLES = 64; // after which a group's measurements are halved
     private static final double FIRST_BEST = 2.5; // latency over estimate: a first jam must not pass as calm
+    private static final double BEST_OF_TRUTH = 1.2; // the same over the true work, once told: a core to a thread
     private static final double BEST_DRIFT = 1.002; // a FADE: an old best fades in minutes, after any jam
     private static final int PIECES = 20; // of a rule's window: what is in doubt is counted on the safe side
 
@@ -618,6 +619,7 @@
         }
         if (ending.memoryMb() > 0) {
             g.memory.add(ending.memoryMb());
+            g.best = Math.min(g.best, BEST_OF_TRUTH);
             if (f.shortGrant && ending.memoryMb() <= f.grant) {
                 // It needed no more than was named, yet spilled: the engine had no more to give.
                 press(now, e);
