--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -454,6 +454,14 @@
         if (b.dispatches > 0 && !mayGoAgain(now, b)) {
             return null;
         }
+        double bounds = 0;
+        int out = 0;
+        for (Engine e : engines) {
+            if (e != null) {
+                out += e.threads;
+                bounds += usable(e) ? e.bound : 0;
+            }
+        }
         Engine best = null;
         double bestRank = Double.NEGATIVE_INFINITY;
         for (Engine e : engines) {
@@ -463,7 +471,7 @@
             double warm = cold(now, e);
             double grant = grant(b, e);
             int threads = b.group.is.threads();
-            boolean fits = e.flights.isEmpty() || e.reserved + grant <= e.slice * warm
+            boolean fits = e.flights.isEmpty() && (out == 0 || out + threads <= bounds) || e.reserved + grant <= e.slice * warm
                     && (e.threads + threads <= e.bound * warm || first(b) && !hasFirst(e));
             boolean easy = warm >= 1 && !pressed(now, e) && e.reserved + grant <= e.memory
                     && e.threads + threads <= e.cores * THREADS_PER_CORE;
