--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -149,6 +149,7 @@
     private long arrivals;
     private long nextBeat;
     private long nextFade;
+    private boolean crowded;
     private boolean subscribe;
 
     public Brain(Deployment deployment, Host host) {
@@ -360,8 +361,11 @@
             subscribe = false;
         }
         watch(now);
+        crowded = false;
         for (Batch b : new ArrayList<>(held.values())) {
-            Engine e = now < b.is.notAfter() - LAST_CALL && myTurn(now, b) ? choose(now, b) : null;
+            boolean mayGo = now < b.is.notAfter() - LAST_CALL && myTurn(now, b);
+            Engine e = mayGo ? choose(now, b) : null;
+            crowded |= mayGo && e == null;
             if (e != null) {
                 send(now, b, e);
             } else if (now >= giveUpAt(b)
@@ -454,14 +458,6 @@
         if (b.dispatches > 0 && !mayGoAgain(now, b)) {
             return null;
         }
-        double bounds = 0;
-        int out = 0;
-        for (Engine e : engines) {
-            if (e != null) {
-                out += e.threads;
-                bounds += usable(e) ? e.bound : 0;
-            }
-        }
         Engine best = null;
         double bestRank = Double.NEGATIVE_INFINITY;
         for (Engine e : engines) {
@@ -471,7 +467,7 @@
             double warm = cold(now, e);
             double grant = grant(b, e);
             int threads = b.group.is.threads();
-            boolean fits = e.flights.isEmpty() && (out == 0 || out + threads <= bounds) || e.reserved + grant <= e.slice * warm
+            boolean fits = e.flights.isEmpty() || e.reserved + grant <= e.slice * warm
                     && (e.threads + threads <= e.bound * warm || first(b) && !hasFirst(e));
             boolean easy = warm >= 1 && !pressed(now, e) && e.reserved + grant <= e.memory
                     && e.threads + threads <= e.cores * THREADS_PER_CORE;
@@ -712,6 +708,9 @@
                 if (slowness(e) > SLOW) {
                     press(now, e);
                     shrink(now, e, true);
+                } else if (crowded && pressed(now, e)) {
+                    // Pressure ends by growth while batches wait: opened at once, the queue floods the engine.
+                    press(now, e);
                 }
                 e.slow.halve();
             }
