--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -73,7 +73,7 @@
     private static final double ENOUGH = 12; // samples before an engine's own median counts, not the fleet's
     private static final int GROUP_SAMPLES = 64; // after which a group's measurements are halved
     private static final double FIRST_BEST = 2.5; // latency over estimate: a first jam must not pass as calm
-    private static final double BEST_OF_TRUTH = 1.2; // the same over the true work, once told: a core to a thread
+    private static final double BEST_OF_TRUTH = 1.2; // the same over the told true work: a core to a thread
     private static final double BEST_DRIFT = 1.002; // a FADE: an old best fades in minutes, after any jam
     private static final int PIECES = 20; // of a rule's window: what is in doubt is counted on the safe side
 
@@ -219,8 +219,9 @@
         }
         if (how == Outcome.TURNED_AWAY) {
             press(now, e);
-        } else if (how == Outcome.TIMED_OUT) {
-            // Where nothing comes back no answer could tell of the jam: a time-out counts as a slow answer.
+        } else if (how == Outcome.TIMED_OUT && usable(e)) {
+            // Where nothing comes back no answer could tell of the jam: a time-out counts as a slow answer,
+            // unless the engine is known as silent: its trouble is not the others' pressure.
             slowed(now, e, (now - f.sent) * b.group.is.threads() / expectedWork(b));
         }
         if (how == Outcome.RETURNED) {
@@ -231,21 +232,11 @@
         if (turn != null && Set.of(Outcome.TIMED_OUT, Outcome.BROKEN, Outcome.CALLED_OFF).contains(how)) {
             turn.restUntil = Math.max(turn.restUntil, now + rules.keyRest());
         }
-        if (ending.closed()) {
-            b.closed = true;
-        }
-        if (b.closed || b.out.isEmpty()) {
-            afterwards(now, b);
-        }
-    }
-
-    /** A batch that is closed is forgotten; one that has nothing out goes again or is given up. */
-    private void afterwards(long now, Batch b) {
-        if (b.closed) {
+        if (ending.closed() || b.closed) {
             close(b);
-        } else if (mayGoAgain(now, b) && now < b.is.notAfter() - LAST_CALL) {
+        } else if (b.out.isEmpty() && mayGoAgain(now, b) && now < b.is.notAfter() - LAST_CALL) {
             held.put(b.order, b);
-        } else {
+        } else if (b.out.isEmpty()) {
             giveUp(b);
         }
     }
@@ -299,11 +290,7 @@
             return;
         }
         if (list.kind() != EngineList.Kind.CHANGES) {
-            for (Engine e : engines) {
-                if (e != null) {
-                    e.standing = Standing.LEFT;
-                }
-            }
+            engines.forEach(e -> e.standing = Standing.LEFT);
         }
         for (EngineList.Entry entry : list.entries()) {
             Engine e = engine(entry.engine());
@@ -344,7 +331,7 @@
     }
 
     private void report(long now, Engine e, Report report) {
-        if (report != null && report.waiting() >= 1) {
+        if (report != null && (report.waiting() >= 1 || report.active() > e.cores * THREADS_PER_CORE)) {
             press(now, e);
         }
     }
@@ -383,10 +370,7 @@
     }
 
     private int room() {
-        double cores = 0;
-        for (Engine e : engines) {
-            cores += e != null && e.standing == Standing.ACTIVE ? e.cores : 0;
-        }
+        int cores = engines.stream().filter(e -> e.standing == Standing.ACTIVE).mapToInt(e -> e.cores).sum();
         return (int) Math.max(HELD_PER_CORE, cores * share * HELD_PER_CORE);
     }
 
@@ -426,10 +410,7 @@
     }
 
     private int priority(Batch b) {
-        double top = 0;
-        for (Group g : groups) {
-            top = Math.max(top, g.is.utility() / g.usualWork());
-        }
+        double top = groups.stream().mapToDouble(g -> g.is.utility() / g.usualWork()).max().orElse(1);
         double rate = b.group.is.utility() / Math.max(1, expectedWork(b)) / top;
         return rate >= 0.4 ? FIRST_RANK : rate >= 0.1 || b.group.is.load() ? 2 : rate >= 0.03 ? 1 : 0;
     }
@@ -459,9 +440,9 @@
             return null;
         }
         Engine best = null;
-        double bestRank = Double.NEGATIVE_INFINITY;
+        double most = Double.NEGATIVE_INFINITY;
         for (Engine e : engines) {
-            if (e == null || !open(now, b, e)) {
+            if (!open(now, b, e)) {
                 continue;
             }
             double warm = cold(now, e);
@@ -475,10 +456,10 @@
                 continue;
             }
             double free = (e.slice * warm - e.reserved) / (e.memory * POOL_SHARE * share);
-            double rank = (fits ? 100 : 0) + Math.max(-20, Math.floor(free * ROOM_STEPS)) * 2
+            double merit = (fits ? 100 : 0) + Math.max(-20, Math.floor(free * ROOM_STEPS)) * 2
                     + (nearby && e.zone == zone ? 1 : 0) + nearness(b, e) - (e == b.last ? 50 : 0);
-            if (rank > bestRank) {
-                bestRank = rank;
+            if (merit > most) {
+                most = merit;
                 best = e;
             }
         }
@@ -494,17 +475,12 @@
      * burst, long batches would fill every bound and the many short ones would starve behind them.
      */
     private boolean hasFirst(Engine e) {
-        for (Flight f : e.flights) {
-            if (first(f.batch)) {
-                return true;
-            }
-        }
-        return false;
+        return e.flights.stream().anyMatch(f -> first(f.batch));
     }
 
     /**
      * Readers of the same tables go to the same engines, which keep them warm. Loads of the same tables stand
-     * still for each other, and no manager sees another's: they divide the engines, from the coldest for these
+     * still for each other, and no manager sees another's: they divide the engines, from the coldest for the
      * tables on, by the managers' numbers, and that outweighs free room.
      */
     private double nearness(Batch b, Engine e) {
@@ -515,7 +491,7 @@
         int place = 0;
         int count = 0;
         for (Engine other : engines) {
-            if (other != null && other.standing == Standing.ACTIVE) {
+            if (other.standing == Standing.ACTIVE) {
                 count++;
                 place += other.affinity(b.is.tables()) < affinity ? 1 : 0;
             }
@@ -537,10 +513,8 @@
         if (e.health == Health.TRIAL && (!e.flights.isEmpty() || is.effect() != Effect.REPEATABLE)) {
             return false;
         }
-        for (Flight f : b.out) {
-            if (f.engine == e) {
-                return false;
-            }
+        if (b.out.stream().anyMatch(f -> f.engine == e)) {
+            return false;
         }
         if ((b.mayHaveRun || !b.out.isEmpty()) && is.effect() == Effect.REFERENCED) {
             Engine first = b.mayHaveRun ? b.firstEngine : b.out.get(0).engine;
@@ -564,15 +538,8 @@
     }
 
     private static boolean holdsLoad(long now, int tables, Engine e) {
-        if (e.loaded.getOrDefault(tables, 0L) > now) {
-            return true;
-        }
-        for (Flight f : e.flights) {
-            if (f.batch.is.tables() == tables && f.batch.group.is.load()) {
-                return true;
-            }
-        }
-        return false;
+        return e.loaded.getOrDefault(tables, 0L) > now
+                || e.flights.stream().anyMatch(f -> f.batch.is.tables() == tables && f.batch.group.is.load());
     }
 
     /** The share of its capacity an engine is sure to have: from the rule's start figure to 1 when warm. */
@@ -701,15 +668,12 @@
             nextFade = now + FADE;
         }
         for (Engine e : engines) {
-            if (e == null) {
-                continue;
-            }
             if (fade) {
                 if (slowness(e) > SLOW) {
                     press(now, e);
                     shrink(now, e, true);
                 } else if (crowded && pressed(now, e)) {
-                    // Pressure ends by growth while batches wait: opened at once, the queue floods the engine.
+                    // While batches wait, pressure ends by growth: opened at once, the queue floods the engine.
                     press(now, e);
                 }
                 e.slow.halve();
@@ -717,10 +681,7 @@
             if (now >= e.restUntil) {
                 health(now, e, News.RESTED);
             }
-            long oldest = now;
-            for (Flight f : e.flights) {
-                oldest = Math.min(oldest, f.sent);
-            }
+            long oldest = e.flights.stream().mapToLong(f -> f.sent).min().orElse(now);
             if (now - Math.max(oldest, e.heard) > silentAfter) {
                 health(now, e, News.QUIET);
             }
@@ -835,14 +796,8 @@
 
     private Engine engine(int index) {
         while (engines.size() <= index) {
-            engines.add(null);
-        }
-        Engine e = engines.get(index);
-        if (e == null) {
-            e = new Engine(index, new Tally(rules.fall(), PIECES));
-            e.rest = FIRST_REST;
-            engines.set(index, e);
+            engines.add(new Engine(engines.size(), FIRST_REST, new Tally(rules.fall(), PIECES)));
         }
-        return e;
+        return engines.get(index);
     }
 }
--- a/src/main/java/firstage/state/Engine.java
+++ b/src/main/java/firstage/state/Engine.java
@@ -36,7 +36,8 @@
     /** Work sent while cold, over the fall window. */
     public final Tally cold;
 
-    public Engine(int index, Tally cold) {
+    public Engine(int index, long rest, Tally cold) {
+        this.rest = rest;
         this.cold = cold;
         this.index = index;
     }
