--- a/src/test/java/firstage/BrainStoriesTest.java
+++ b/src/test/java/firstage/BrainStoriesTest.java
@@ -192,4 +192,71 @@
         host.end(1, Outcome.CALLED_OFF);
         assertThat(host.sent(1)).isEqualTo(2);
     }
+
+    // ---- Jams
+    @Test
+    void aJamDoesNotBecomeTheNewNormal() {
+        host.start(1);
+        // Answers ten times over the estimate, from the first on: the gate must bind, not take them as calm.
+        for (int b = 0; b < 60; b++) {
+            host.take(b, LOOKUP);
+            if (host.sent(b) > 0) {
+                host.slowly(b, 20_000);
+            }
+            host.pass(SECOND / 20);
+        }
+        for (int b = 100; b < 160; b++) {
+            host.take(b, LOOKUP);
+        }
+        assertThat(host.dispatches.keySet().stream().filter(b -> b >= 100)).hasSizeLessThan(16);
+    }
+
+    @Test
+    void theGateStaysShutWhileBatchesWait() {
+        host.managers = 4;
+        host.start(1).take(1, REPORT).note(1, Note.Kind.WAITS_FOR_MEMORY, 0);
+        for (int b = 2; b < 30; b++) {
+            host.take(b, REPORT);
+        }
+        for (int beat = 0; beat < 16; beat++) {
+            host.note(1, Note.Kind.DONE, 0).pass(SECOND / 2);
+        }
+        // Eight seconds after the only sign of pressure, the queue has not gone out at once.
+        assertThat(host.dispatches).hasSizeLessThan(5);
+    }
+
+    @Test
+    void aWaitForMemoryTakesFromTheMargin() {
+        host.start(2).take(1, LOOKUP, -1, 400, -1).note(1, Note.Kind.WAITS_FOR_MEMORY, 0);
+        host.take(2, LOOKUP, -1, 400, -1);
+        assertThat(host.acts).contains("provide 1 500").contains("provide 2 484");
+    }
+
+    @Test
+    void aShortBatchIsNotStarvedByLongOnes() {
+        host.managers = 4;
+        host.start(1).take(1, REPORT).note(1, Note.Kind.WAITS_FOR_MEMORY, 0);
+        host.take(2, REPORT).take(3, REPORT).take(4, LOOKUP);
+        assertThat(host.sent(3)).isZero();
+        assertThat(host.sent(4)).isEqualTo(1);
+    }
+
+    @Test
+    void aCustomerBeyondItsShareMayNotFillTheQueue() {
+        host.rates = List.of(1.0, 100.0);
+        host.start(0);
+        for (int b = 0; b < 30; b++) {
+            host.take(b, REPORT, -1, 0, 0);
+        }
+        assertThat(host.acts).contains("pushBack 29");
+        host.take(30, REPORT, -1, 0, 1);
+        assertThat(host.answered(30)).isFalse();
+    }
+
+    @Test
+    void loadsOfTheSameTablesGoToDifferentEngines() {
+        host.start(4).takeReading(1, LOAD, 5).takeReading(2, LOAD, 5).takeReading(3, LOOKUP, 5);
+        assertThat(host.on(2)).isNotEqualTo(host.on(1));
+        assertThat(host.on(3)).isNotIn(host.on(1), host.on(2));
+    }
 }
--- a/src/test/java/firstage/FakeHost.java
+++ b/src/test/java/firstage/FakeHost.java
@@ -87,9 +87,24 @@
         return this;
     }
 
+    FakeHost takeReading(int batch, int group, int tables) {
+        brain.taken(now, new Arrival(batch, group, -1, -1, now + 20 * SECOND, 2_000, 0, tables, false));
+        brain.turn(now);
+        return this;
+    }
+
     FakeHost end(int batch, Outcome outcome) {
+        return end(batch, outcome, 2_000);
+    }
+
+    /** The batch returns after so long. */
+    FakeHost slowly(int batch, long took) {
+        return end(batch, Outcome.RETURNED, took);
+    }
+
+    private FakeHost end(int batch, Outcome outcome, long took) {
         int number = dispatches.get(batch) - 1;
-        brain.ended(now, new Ending(batch, number, lastEngine.get(batch), outcome, 2_000, 0, 0,
+        brain.ended(now, new Ending(batch, number, lastEngine.get(batch), outcome, took, 0, 0,
                 outcome == Outcome.RETURNED, null));
         brain.turn(now);
         return this;
