--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -57,8 +57,8 @@
     private static final long SILENT_WITHOUT_NOTES = 40_000; // long against usual work, short against limits
     private static final long FIRST_REST = 10_000; // before the first trial of an engine; doubled up to ...
     private static final long MOST_REST = 80_000; // ... this: a trial costs one batch
-    private static final double COLD_SAFETY = 0.6; // of the cold budget: others and chance need the rest
-    private static final double WARMING = 0.5; // of a straight line: how an engine warms is not told
+    private static final double COLD_SAFETY = 0.9; // of the cold budget: others and chance need the rest
+    private static final double WARMING = 0.8; // of a straight line: how an engine warms is not told
     private static final double FULL = 0.85; // busy share of the cores at capacity, as the cold rule reckons
     private static final double RUNAWAY = 3; // times a fresh run still ahead: few plain ones vary so
     private static final long BEAT = 100; // between looks at our own timers: under the slack for an answer
--- a/src/test/java/firstage/FakeHost.java
+++ b/src/test/java/firstage/FakeHost.java
@@ -82,7 +82,8 @@
 
     FakeHost take(int batch, int group, int key, int memory, int customer) {
         long limit = group == LOOKUP ? 5 * SECOND : 20 * SECOND;
-        brain.taken(now, new Arrival(batch, group, customer, key, now + limit, 2_000, memory, batch, false));
+        brain.taken(now, new Arrival(batch, group, customer, key, now + limit,
+                group == LOOKUP ? 2_000 : 20_000, memory, batch, false));
         brain.turn(now);
         return this;
     }
