--- a/src/test/java/firstage/BrainStoriesTest.java
+++ b/src/test/java/firstage/BrainStoriesTest.java
@@ -235,8 +235,8 @@
     @Test
     void aShortBatchIsNotStarvedByLongOnes() {
         host.managers = 4;
-        host.start(1).take(1, REPORT).note(1, Note.Kind.WAITS_FOR_MEMORY, 0);
-        host.take(2, REPORT).take(3, REPORT).take(4, LOOKUP);
+        host.start(1).take(1, REPORT, -1, 100, -1).note(1, Note.Kind.WAITS_FOR_MEMORY, 0);
+        host.take(2, REPORT, -1, 100, -1).take(3, REPORT, -1, 100, -1).take(4, LOOKUP, -1, 100, -1);
         assertThat(host.sent(3)).isZero();
         assertThat(host.sent(4)).isEqualTo(1);
     }
