--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -60,7 +60,7 @@
     private static final double COLD_SAFETY = 0.9; // of the cold budget: others and chance need the rest
     private static final double WARMING = 0.8; // of a straight line: how an engine warms is not told
     private static final double FULL = 0.85; // busy share of the cores at capacity, as the cold rule reckons
-    private static final double RUNAWAY = 3; // times a fresh run still ahead: few plain ones vary so
+    private static final double RUNAWAY = 5; // times a fresh run still ahead: estimates scatter by half of it
     private static final long BEAT = 100; // between looks at our own timers: under the slack for an answer
     private static final long LAST_CALL = 300; // before its limit a held batch is answered: two beats
     private static final double ROOM_STEPS = 4; // of a slice that count as alike: there nearness decides
@@ -712,7 +712,7 @@
         if (allowed.callOff() && (b.group.is.effect() == Effect.REPEATABLE || lost)) {
             f.givenUp = true;
             host.callOff(b.is.batch(), f.number);
-        } else if (allowed.secondCopies() && now < giveUpAt(b)) {
+        } else if (lost && allowed.secondCopies() && now < giveUpAt(b)) {
             f.givenUp = true;
             held.put(b.order, b);
         }
