--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -585,7 +585,7 @@
         double figure = memoryFigure(b);
         if (figure > 0) {
             boolean tooShort = ending.memoryMb() > 0 ? ending.memoryMb() > f.grant : f.shortGrant;
-            g.margin += tooShort ? MARGIN_UP : -MARGIN_DOWN;
+            g.margin += tooShort ? MARGIN_UP : pressed(now, e) ? -MARGIN_DOWN : -MARGIN_DOWN / 4;
             g.margin = Math.max(LEAST_MARGIN, Math.min(MOST_MARGIN, g.margin));
         }
         if (ending.memoryMb() > 0) {
