A dispatch without notes is lost, even on an engine that speaks of others

Also catches lost answers and half-broken paths; may repeat a repeatable batch whose notes alone were lost. Engines whose dispatches all wait in line no longer count as silent.

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -250,8 +250,10 @@
         }
         Engine e = f.engine;
         e.heard = now;
+        f.heard = now;
         health(now, e, News.SIGN);
         f.standsStill = note.kind() == Note.Kind.WAITS_FOR_LOAD;
+        f.inLine = note.kind() == Note.Kind.WAITS_FOR_MEMORY;
         switch (note.kind()) {
             case DONE -> {
                 f.share = Math.max(note.amount(), f.share);
@@ -681,7 +683,7 @@
             if (now >= e.restUntil) {
                 health(now, e, News.RESTED);
             }
-            long oldest = e.flights.stream().mapToLong(f -> f.sent).min().orElse(now);
+            long oldest = e.flights.stream().filter(f -> !f.inLine).mapToLong(f -> f.sent).min().orElse(now);
             if (now - Math.max(oldest, e.heard) > silentAfter) {
                 health(now, e, News.QUIET);
             }
@@ -701,7 +703,9 @@
     /** A dispatch that gets nowhere is called off, or a copy is sent beside it, where both are allowed. */
     private void rescue(long now, Flight f) {
         Batch b = f.batch;
-        boolean lost = f.engine.health == Health.SILENT || f.engine.health == Health.DOWN;
+        // Also lost is a dispatch without notes on an engine that speaks of others: dropped there or on the way.
+        boolean lost = f.engine.health == Health.SILENT || f.engine.health == Health.DOWN
+                || notePace > 0 && !f.inLine && now - f.heard > silentAfter;
         if (b.closed || f.givenUp || !(lost || f.standsStill || runaway(now, f))) {
             return;
         }
--- a/src/main/java/firstage/state/Flight.java
+++ b/src/main/java/firstage/state/Flight.java
@@ -7,11 +7,15 @@
     public final int number;
     public final long sent;
     public final double grant;
+    /** When it was sent or last spoken of. */
+    public long heard;
     /** Share done, by its latest note. */
     public double share;
     public boolean shortGrant;
     public boolean waited;
     public boolean standsStill;
+    /** It waits in the engine's line for memory, from where no further notes come. */
+    public boolean inLine;
     /** Nothing more is expected of it: it was called off, or a copy was asked for. */
     public boolean givenUp;
 
@@ -20,6 +24,7 @@
         this.engine = engine;
         this.number = number;
         this.sent = sent;
+        this.heard = sent;
         this.grant = grant;
     }
 }
--- a/src/test/java/firstage/BrainStoriesTest.java
+++ b/src/test/java/firstage/BrainStoriesTest.java
@@ -184,6 +184,23 @@
         assertThat(host.on(3)).isNotEqualTo(silent);
     }
 
+    @Test
+    void aDispatchWithoutNotesIsLostOnALivingEngine() {
+        host.callOff = true;
+        host.start(1).take(1, REPORT).take(2, REPORT);
+        for (int beat = 0; beat < 4; beat++) {
+            host.pass(SECOND / 2).note(1, Note.Kind.DONE, 0.1 + beat * 0.2);
+        }
+        assertThat(host.acts).contains("callOff 2").doesNotContain("callOff 1");
+    }
+
+    @Test
+    void aDispatchInTheEnginesLineOwesNoNotes() {
+        host.callOff = true;
+        host.start(1).take(1, REPORT).note(1, Note.Kind.WAITS_FOR_MEMORY, 0).pass(3 * SECOND);
+        assertThat(host.acts).doesNotContain("callOff 1");
+    }
+
     @Test
     void aRunawayIsCalledOffAndSentAgain() {
         host.callOff = true;
