Slowness shrinks the bound alone, a wait for memory the slice alone

Cause: both shrank on either sign, so in a slow spell a short batch did not fit beside a long one for memory that was free.

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -620,13 +620,14 @@
         fleet.add(slowness * cold(now, e));
     }
 
-    private void shrink(long now, Engine e, boolean threadsToo) {
+    private void shrink(long now, Engine e, boolean slow) {
         if (now - e.shrunk < SHRINK_GAP) {
             return;
         }
         e.shrunk = now;
-        e.slice = Math.max(e.memory * POOL_SHARE * share / 2, e.slice * SHRINK);
-        if (threadsToo) {
+        if (!slow) {
+            e.slice = Math.max(e.memory * POOL_SHARE * share / 2, e.slice * SHRINK);
+        } else {
             e.bound = Math.max(e.cores * LEAST_PER_CORE * share, e.bound * SHRINK);
         }
     }
