First rank from 0.6 of the best rate

Cause: loads counted as first rank and took the one place past the bound that is meant for short batches.

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -414,7 +414,7 @@
     private int priority(Batch b) {
         double top = groups.stream().mapToDouble(g -> g.is.utility() / g.usualWork()).max().orElse(1);
         double rate = b.group.is.utility() / Math.max(1, expectedWork(b)) / top;
-        return rate >= 0.4 ? FIRST_RANK : rate >= 0.1 || b.group.is.load() ? 2 : rate >= 0.03 ? 1 : 0;
+        return rate >= 0.6 ? FIRST_RANK : rate >= 0.1 || b.group.is.load() ? 2 : rate >= 0.03 ? 1 : 0;
     }
 
     /** The told estimate or the mean true memory, with the margin; else half a core's memory a thread. */
