Refusing engines rest, three errors in a row close one, patience follows the run without notes

Against troubles not met yet: an engine that errs at once is always free and would draw every batch; one that refuses burnt a batch's dispatches within milliseconds; without notes a long report passed for a silent engine.

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -55,6 +55,7 @@
     private static final double HELD_PER_CORE = 4; // batches, on our part of the cores: what a goal clears
     private static final double NOTES_MISSED = 2.6; // paces without a word: two may be late, three are not
     private static final long SILENT_WITHOUT_NOTES = 40_000; // long against usual work, short against limits
+    private static final int ERRORS_IN_A_ROW = 3; // close an engine: one batch may err, not three
     private static final long FIRST_REST = 10_000; // before the first trial of an engine; doubled up to ...
     private static final long MOST_REST = 80_000; // ... this: a trial costs one batch
     private static final double COLD_SAFETY = 0.9; // of the cold budget: others and chance need the rest
@@ -78,35 +79,31 @@
     private static final int PIECES = 20; // of a rule's window: what is in doubt is counted on the safe side
 
     // ---- Tables.
-    private enum News { ANSWER, SIGN, UNREACHED, BROKE, QUIET, RESTED, RESTARTED }
+    private enum News { ANSWER, SIGN, REFUSED, UNREACHED, BROKE, QUIET, RESTED, RESTARTED }
 
     private enum Act { NONE, REST, CLEAR }
 
     private record Row(Health state, News news, Health next, Act act) {
     }
 
-    /** State, input, next state, effect. A pair without a row changes nothing. */
+    /** State (null: any), input, next state, effect. What leaves the state as it is is no news. */
     private static final Row[] HEALTH = {
-        new Row(Health.READY, News.UNREACHED, Health.DOWN, Act.REST),
-        new Row(Health.READY, News.BROKE, Health.DOWN, Act.REST),
-        new Row(Health.READY, News.QUIET, Health.SILENT, Act.REST),
-        new Row(Health.TRIAL, News.UNREACHED, Health.DOWN, Act.REST),
-        new Row(Health.TRIAL, News.BROKE, Health.DOWN, Act.REST),
-        new Row(Health.TRIAL, News.QUIET, Health.SILENT, Act.REST),
-        new Row(Health.TRIAL, News.ANSWER, Health.READY, Act.CLEAR),
-        new Row(Health.SILENT, News.ANSWER, Health.READY, Act.CLEAR),
+        new Row(null, News.ANSWER, Health.READY, Act.CLEAR),
+        new Row(null, News.RESTARTED, Health.READY, Act.CLEAR),
+        new Row(null, News.REFUSED, Health.FULL, Act.REST),
+        new Row(null, News.UNREACHED, Health.DOWN, Act.REST),
+        new Row(null, News.BROKE, Health.DOWN, Act.REST),
+        new Row(null, News.QUIET, Health.SILENT, Act.REST),
         new Row(Health.SILENT, News.SIGN, Health.TRIAL, Act.NONE),
         new Row(Health.SILENT, News.RESTED, Health.TRIAL, Act.NONE),
-        new Row(Health.SILENT, News.RESTARTED, Health.TRIAL, Act.CLEAR),
-        new Row(Health.DOWN, News.ANSWER, Health.READY, Act.CLEAR),
+        new Row(Health.FULL, News.RESTED, Health.TRIAL, Act.NONE),
         new Row(Health.DOWN, News.RESTED, Health.TRIAL, Act.NONE),
-        new Row(Health.DOWN, News.RESTARTED, Health.READY, Act.CLEAR),
     };
 
-    /** What an outcome tells of the engine; the others (turned away, called off, not sent) tell nothing. */
+    /** What an outcome tells of the engine; a time-out, a call-off and what was not sent tell nothing. */
     private static final Map<Outcome, News> TELLS = Map.of(Outcome.RETURNED, News.ANSWER,
-            Outcome.ERRORED, News.ANSWER, Outcome.NO_CONNECTION, News.UNREACHED, Outcome.BROKEN, News.BROKE,
-            Outcome.TURNED_AWAY, News.SIGN);
+            Outcome.ERRORED, News.SIGN, Outcome.NO_CONNECTION, News.UNREACHED, Outcome.BROKEN, News.BROKE,
+            Outcome.TURNED_AWAY, News.REFUSED);
 
     private enum Again { ANYWHERE, IN_SCOPE, NO }
 
@@ -136,7 +133,6 @@
     private final boolean nearby;
     private final double largestGrant;
     private final long notePace;
-    private final long silentAfter;
     private final double[] customerRate;
     private final double[] customerTokens;
     private final List<Engine> engines = new ArrayList<>();
@@ -166,7 +162,6 @@
         nearby = deployment.crossingCosts();
         largestGrant = deployment.largestGrant();
         notePace = deployment.notePace();
-        silentAfter = notePace > 0 ? (long) (notePace * NOTES_MISSED) : SILENT_WITHOUT_NOTES;
         subscribe = deployment.asksForList();
         customerRate = deployment.customerRates().stream().mapToDouble(r -> r * share / 10_000).toArray();
         customerTokens = Arrays.stream(customerRate).map(r -> r * CUSTOMER_SPAN).toArray();
@@ -217,6 +212,11 @@
             e.heard = now;
             health(now, e, TELLS.get(how));
         }
+        // An engine that errors at once is always free and would draw every batch: a few in a row close it.
+        e.errors = how == Outcome.ERRORED ? e.errors + 1 : how == Outcome.RETURNED ? 0 : e.errors;
+        if (e.errors >= ERRORS_IN_A_ROW) {
+            health(now, e, News.BROKE);
+        }
         if (how == Outcome.TURNED_AWAY) {
             press(now, e);
         } else if (how == Outcome.TIMED_OUT && usable(e)) {
@@ -643,7 +643,7 @@
 
     private void health(long now, Engine e, News news) {
         for (Row row : HEALTH) {
-            if (row.state == e.health && row.news == news) {
+            if ((row.state == null || row.state == e.health) && row.news == news && row.next != e.health) {
                 e.health = row.next;
                 if (row.act == Act.REST) {
                     e.restUntil = now + e.rest;
@@ -676,7 +676,7 @@
                     press(now, e);
                     shrink(now, e, true);
                 } else if (crowded && pressed(now, e)) {
-                    // While batches wait, pressure ends by growth: opened at once, the queue floods the engine.
+                    // While batches wait, growth ends it: opened at once, the queue floods the engine.
                     press(now, e);
                 }
                 e.slow.halve();
@@ -684,8 +684,8 @@
             if (now >= e.restUntil) {
                 health(now, e, News.RESTED);
             }
-            long oldest = e.flights.stream().filter(f -> !f.inLine).mapToLong(f -> f.sent).min().orElse(now);
-            if (now - Math.max(oldest, e.heard) > silentAfter) {
+            if (e.flights.stream().anyMatch(f -> !f.inLine
+                    && now - Math.max(f.sent, e.heard) > patience(f))) {
                 health(now, e, News.QUIET);
             }
             for (Flight f : new ArrayList<>(e.flights)) {
@@ -701,17 +701,20 @@
         });
     }
 
+    /** How long an engine may be mute with this dispatch out: a few note paces, else well over its run. */
+    private long patience(Flight f) {
+        return notePace > 0 ? (long) (notePace * NOTES_MISSED)
+                : SILENT_WITHOUT_NOTES + 2 * (long) expectedWork(f.batch) / f.batch.group.is.threads();
+    }
+
     /** A dispatch that gets nowhere is called off, or a copy is sent beside it, where both are allowed. */
     private void rescue(long now, Flight f) {
         Batch b = f.batch;
-        // Also lost is a dispatch without notes on an engine that speaks of others: dropped there or on the way.
+        // Lost, too, is a dispatch without notes on an engine that speaks of others: dropped somewhere.
         boolean lost = f.engine.health == Health.SILENT || f.engine.health == Health.DOWN
-                || notePace > 0 && !f.inLine && now - f.heard > silentAfter;
-        if (b.closed || f.givenUp || !(lost || f.standsStill || runaway(now, f))) {
-            return;
-        }
-        if (b.dispatches >= allowed.dispatches() || !leave(b).again.equals(Again.ANYWHERE)
-                && b.group.is.effect() == Effect.ONCE_ONLY) {
+                || notePace > 0 && !f.inLine && now - f.heard > patience(f);
+        if (b.closed || f.givenUp || !(lost || f.standsStill || runaway(now, f))
+                || b.dispatches >= allowed.dispatches() || leave(b).again == Again.NO) {
             return;
         }
         if (allowed.callOff() && (b.group.is.effect() == Effect.REPEATABLE || lost)) {
--- a/src/main/java/firstage/state/Engine.java
+++ b/src/main/java/firstage/state/Engine.java
@@ -27,6 +27,8 @@
     public long rest;
     public long restUntil;
     public long heard;
+    /** Errors since it last returned a batch. */
+    public int errors;
     public long pressedUntil;
     public long shrunk;
     /** Latency over the best of its group. */
--- a/src/main/java/firstage/state/Health.java
+++ b/src/main/java/firstage/state/Health.java
@@ -1,4 +1,4 @@
 package firstage.state;
 
-/** How an engine is judged from what passes through. TRIAL lets one batch find out. */
-public enum Health { READY, TRIAL, SILENT, DOWN }
+/** How an engine is judged from what passes through. FULL refuses, TRIAL lets one batch find out. */
+public enum Health { READY, FULL, TRIAL, SILENT, DOWN }
--- a/src/test/java/firstage/FakeHost.java
+++ b/src/test/java/firstage/FakeHost.java
@@ -149,6 +149,7 @@
         dispatches.merge(batch, 1, Integer::sum);
         lastEngine.put(batch, engine);
         acts.add("dispatch " + batch);
+        acts.add("dispatch to " + engine);
     }
 
     @Override
