--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -376,11 +376,16 @@
         return (int) Math.max(HELD_PER_CORE, cores * share * HELD_PER_CORE);
     }
 
-    /** The queue's time-out: the last moment at which a dispatch could still earn something. */
+    /**
+     * The queue's time-out: the last moment at which a dispatch could still earn something. Where no estimate
+     * blurs the goal, what is paid late is given up by its goal while the queue is long: else all of it would
+     * be sent late. A single estimate scatters too much to say that a goal is past.
+     */
     private long giveUpAt(Batch b) {
-        long run = (long) (expectedWork(b) / b.group.is.threads());
-        long worthless = b.group.is.lateValue() > 0 ? b.is.notAfter() : b.goalAt;
-        return Math.min(b.is.notAfter() - LAST_CALL, worthless - run);
+        boolean told = b.is.estimate() > 0;
+        double run = expectedWork(b) / b.group.is.threads() * (told ? 1 : Math.max(1, fleet.quantile(0.5)));
+        boolean byGoal = b.group.is.lateValue() == 0 || crowded && !told;
+        return Math.min(b.is.notAfter() - LAST_CALL, (byGoal ? b.goalAt : b.is.notAfter()) - (long) run);
     }
 
     private void send(long now, Batch b, Engine e) {
--- a/src/test/java/firstage/BrainStoriesTest.java
+++ b/src/test/java/firstage/BrainStoriesTest.java
@@ -279,6 +279,23 @@
         assertThat(host.sent(4)).isEqualTo(1);
     }
 
+    @Test
+    void aLoadTakesNoPlaceKeptForShortBatches() {
+        host.managers = 8;
+        host.start(1).take(1, LOAD, -1, 100, -1).note(1, Note.Kind.WAITS_FOR_MEMORY, 0).take(2, LOOKUP, -1, 100, -1);
+        assertThat(host.sent(2)).isEqualTo(1);
+    }
+
+    @Test
+    void aReportIsGivenUpByItsGoalWhileTheQueueIsLong() {
+        host.estimate = false;
+        host.start(1).change(0, Standing.LEFT, 0).take(1, REPORT).pass(4 * SECOND);
+        // Its goal is 9 s off and its usual run takes 3 s; its late part could have waited until 17 s.
+        assertThat(host.answered(1)).isFalse();
+        host.pass(4 * SECOND);
+        assertThat(host.acts).contains("pushBack 1");
+    }
+
     @Test
     void aCustomerBeyondItsShareMayNotFillTheQueue() {
         host.rates = List.of(1.0, 100.0);
--- a/src/test/java/firstage/FakeHost.java
+++ b/src/test/java/firstage/FakeHost.java
@@ -31,6 +31,7 @@
     long now = 100 * SECOND;
     // What a story may change before it starts.
     int managers = 1;
+    boolean estimate = true;
     boolean callOff;
     boolean secondCopies;
     double memoryMb = 16_000;
@@ -83,7 +84,7 @@
     FakeHost take(int batch, int group, int key, int memory, int customer) {
         long limit = group == LOOKUP ? 5 * SECOND : 20 * SECOND;
         brain.taken(now, new Arrival(batch, group, customer, key, now + limit,
-                group == LOOKUP ? 2_000 : 20_000, memory, batch, false));
+                !estimate ? 0 : group == LOOKUP ? 2_000 : 20_000, memory, batch, false));
         brain.turn(now);
         return this;
     }
