--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -48,7 +48,7 @@
     private static final double SLOW = 1.6; // times the best latency: pressed, still short of the knee
     private static final double CALM = 1.25; // times the best latency: slice and bound may grow
     private static final double SHRINK = 0.8; // a step's factor: three halve, one bad second closes nothing
-    private static final double LEAST_PER_CORE = 1; // threads, all bounds together: fewer would idle cores
+    private static final double LEAST_PER_CORE = 1.3; // threads, all bounds together: just short of the knee
     private static final long SHRINK_GAP = 7_000; // between steps: the last one must show in answers first
     private static final double GROW = 0.5; // of a clean answer's threads and grant: doubles in seconds
     private static final long PRESSED = 40_000; // pressure outlives its last sign: no flood when a jam eases
