--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -446,6 +446,8 @@
         if (b.dispatches > 0 && !mayGoAgain(now, b)) {
             return null;
         }
+        double bounds = engines.stream().filter(Brain::usable).mapToDouble(e -> e.bound).sum();
+        int out = engines.stream().mapToInt(e -> e.threads).sum();
         Engine best = null;
         double most = Double.NEGATIVE_INFINITY;
         for (Engine e : engines) {
@@ -455,7 +457,9 @@
             double warm = cold(now, e);
             double grant = grant(b, e);
             int threads = b.group.is.threads();
-            boolean fits = e.flights.isEmpty() || e.reserved + grant <= e.slice * warm
+            // Many managers with a lone batch each on every engine would fill it: all bounds together still hold.
+            boolean lone = e.flights.isEmpty() && (out == 0 || out + threads <= bounds);
+            boolean fits = lone || e.reserved + grant <= e.slice * warm
                     && (e.threads + threads <= e.bound * warm || first(b) && !hasFirst(e));
             boolean easy = warm >= 1 && !pressed(now, e) && e.reserved + grant <= e.memory
                     && e.threads + threads <= e.cores * THREADS_PER_CORE;
@@ -666,9 +670,7 @@
         boolean fade = now >= nextFade;
         if (fade) {
             fleet.halve();
-            for (Group g : groups) {
-                g.best *= BEST_DRIFT;
-            }
+            groups.forEach(g -> g.best *= BEST_DRIFT);
             for (int c = 0; c < customerTokens.length; c++) {
                 double most = customerRate[c] * CUSTOMER_SPAN;
                 customerTokens[c] = Math.min(most, customerTokens[c] + customerRate[c] * FADE);
--- a/src/test/java/firstage/BrainStoriesTest.java
+++ b/src/test/java/firstage/BrainStoriesTest.java
@@ -9,6 +9,7 @@
 import firstage.door.EngineList.Standing;
 import firstage.door.Note;
 import firstage.door.Outcome;
+import firstage.door.Report;
 import firstage.door.ServiceGroup.Effect;
 import firstage.door.ServiceGroup.Scope;
 import java.util.List;
@@ -279,6 +280,20 @@
         assertThat(host.sent(4)).isEqualTo(1);
     }
 
+    @Test
+    void loneBatchesStayWithinAllBoundsTogether() {
+        host.managers = 16;
+        host.start(4);
+        for (int e = 0; e < 4; e++) {
+            host.brain.probed(host.now, e, Outcome.RETURNED, new Report(0, 5, 0, 0, 0));
+        }
+        // Four engines with a bound of one thread each: two reports of two threads, not one on every engine.
+        for (int b = 10; b < 14; b++) {
+            host.take(b, REPORT, -1, 100, -1);
+        }
+        assertThat(host.dispatches.keySet().stream().filter(b -> b >= 10)).hasSize(2);
+    }
+
     @Test
     void aLoadTakesNoPlaceKeptForShortBatches() {
         host.managers = 8;
