--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -457,7 +457,7 @@
             double warm = cold(now, e);
             double grant = grant(b, e);
             int threads = b.group.is.threads();
-            // Many managers with a lone batch each on every engine would fill it: all bounds together still hold.
+            // Many managers with one lone batch each would fill an engine: all bounds together still hold.
             boolean lone = e.flights.isEmpty() && (out == 0 || out + threads <= bounds);
             boolean fits = lone || e.reserved + grant <= e.slice * warm
                     && (e.threads + threads <= e.bound * warm || first(b) && !hasFirst(e));
