--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -760,11 +760,10 @@
         if (again == Again.NO) {
             return false;
         }
-        if (again == Again.IN_SCOPE) {
-            long first = b.mayHaveRun ? b.firstRun : b.out.get(0).sent;
-            if (now >= first + b.group.is.window()) {
-                return false;
-            }
+        long first = b.out.stream().mapToLong(f -> f.sent).min().orElse(now);
+        first = b.mayHaveRun ? Math.min(first, b.firstRun) : first;
+        if (again == Again.IN_SCOPE && now >= first + b.group.is.window()) {
+            return false;
         }
         return b.dispatches == 0 || withinBudget(now);
     }
--- a/src/test/java/firstage/BrainStoriesTest.java
+++ b/src/test/java/firstage/BrainStoriesTest.java
@@ -85,6 +85,20 @@
         assertThat(host.acts).contains("pushBack 1");
     }
 
+    @Test
+    void theWindowCountsFromADispatchThatIsStillOut() {
+        host.loadEffect = Effect.REFERENCED;
+        host.secondCopies = true;
+        host.start(3).take(1, LOAD).pass(2 * SECOND);
+        assertThat(host.sent(1)).isEqualTo(2);
+        for (int beat = 0; beat < 9; beat++) {
+            host.note(1, Note.Kind.DONE, 0.1).pass(SECOND / 2);
+        }
+        // The copy breaks within its own window of 6 s, but past that of the first, which never came back.
+        host.end(1, Outcome.BROKEN).pass(SECOND);
+        assertThat(host.sent(1)).isEqualTo(2);
+    }
+
     // ---- Rules 3, 4
     @Test
     void nothingGoesToADrainingEngine() {
