--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -1,25 +1,9 @@
 package firstage;
 
-import firstage.door.Arrival;
-import firstage.door.Deployment;
-import firstage.door.Ending;
-import firstage.door.EngineList;
+import firstage.door.*;
 import firstage.door.EngineList.Standing;
-import firstage.door.Host;
-import firstage.door.Note;
-import firstage.door.Outcome;
-import firstage.door.Report;
-import firstage.door.ServiceGroup;
 import firstage.door.ServiceGroup.Effect;
-import firstage.door.WorkloadManager;
-import firstage.state.Batch;
-import firstage.state.Bins;
-import firstage.state.Engine;
-import firstage.state.Flight;
-import firstage.state.Group;
-import firstage.state.Health;
-import firstage.state.Tally;
-import firstage.state.Turn;
+import firstage.state.*;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -27,6 +11,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
 
 /**
  * All decisions of one workload manager. Callers tell it news through {@link WorkloadManager} and end each
@@ -62,11 +48,13 @@
     private static final double WARMING = 0.8; // of a straight line: how an engine warms is not told
     private static final double FULL = 0.85; // busy share of the cores at capacity, as the cold rule reckons
     private static final double RUNAWAY = 5; // times a fresh run still ahead: estimates scatter by half of it
-    private static final long BEAT = 100; // between looks at our own timers: under the slack for an answer
-    private static final long LAST_CALL = 300; // before its limit a held batch is answered: two beats
+    private static final long BEAT = 200; // between looks at our own timers: a hundredth of a note's patience
+    private static final long LAST_CALL = 500; // before its limit a held batch is answered: over two beats
     private static final double ROOM_STEPS = 4; // of a slice that count as alike: there nearness decides
     private static final double OVER_SHARE_ROOM = 0.2; // of the queue for customers beyond their share
     private static final int FIRST_RANK = 3; // the priority of what pays best for its work
+    private static final double READERS_FROM = 0.67; // of the engines in a table's order: a third reads it
+    private static final double READERS = 1; // in steps of rank, half a step of room: chance still counts
     private static final double OWN_PLACE = 30; // in steps of rank: above any free room, below fitting
     private static final long COME_BACK = 5_000; // a client should stay away: half a queue clears in it
     private static final long FADE = 10_000; // between halvings of slowness: old samples are gone in seconds
@@ -122,6 +110,7 @@
 
     // ---- State.
     private final Host host;
+    private final RandomGenerator chance;
     private final Deployment.Allowed allowed;
     private final Deployment.Rules rules;
     private final List<Deployment.Machine> machines;
@@ -147,9 +136,11 @@
     private long nextFade;
     private boolean crowded;
     private boolean subscribe;
+    private boolean stirred;
 
     public Brain(Deployment deployment, Host host) {
         this.host = host;
+        chance = RandomGeneratorFactory.of("L64X128MixRandom").create(deployment.seed());
         allowed = deployment.allowed();
         rules = deployment.rules();
         machines = deployment.machines();
@@ -186,6 +177,7 @@
             customerTokens[arrival.customer()] = Math.max(0, customerTokens[arrival.customer()] - 1);
         }
         batches.put(arrival.batch(), b);
+        stirred = true;
         held.put(b.order, b);
         taken.add(now, 1);
     }
@@ -201,6 +193,7 @@
         Outcome how = ending.outcome();
         b.out.remove(f);
         land(f);
+        stirred = true;
         if (how.mayHaveRun) {
             if (!b.mayHaveRun || f.sent < b.firstRun) {
                 b.firstRun = f.sent;
@@ -261,6 +254,7 @@
                     double whole = (now - f.sent) / f.share * b.group.is.threads();
                     slowed(now, e, whole / b.is.estimate() / b.group.best());
                 }
+                rescue(now, f);
             }
             case SPILLS -> f.shortGrant = true;
             case WAITS_FOR_MEMORY -> {
@@ -294,6 +288,7 @@
         if (list.kind() != EngineList.Kind.CHANGES) {
             engines.forEach(e -> e.standing = Standing.LEFT);
         }
+        stirred = true;
         for (EngineList.Entry entry : list.entries()) {
             Engine e = engine(entry.engine());
             boolean restarted = entry.since() > e.since && e.mark != 0;
@@ -349,9 +344,23 @@
             host.subscribe();
             subscribe = false;
         }
-        watch(now);
+        if (nextBeat == 0) {
+            watch(now);
+        }
+        // Each held batch looks at each engine: only where something came in, or a beat is over.
+        if (stirred || nextBeat == 0) {
+            release(now);
+        }
+        if (nextBeat == 0 && (!batches.isEmpty() || !turns.isEmpty())) {
+            nextBeat = now + BEAT;
+            host.wakeIn(BEAT, 0);
+        }
+        stirred = false;
+    }
+
+    private void release(long now) {
         crowded = false;
-        for (Batch b : new ArrayList<>(held.values())) {
+        for (Batch b : held.isEmpty() ? List.<Batch>of() : new ArrayList<>(held.values())) {
             boolean mayGo = now < b.is.notAfter() - LAST_CALL && myTurn(now, b);
             Engine e = mayGo ? choose(now, b) : null;
             crowded |= mayGo && e == null;
@@ -365,10 +374,6 @@
                 }
             }
         }
-        if (nextBeat == 0 && (!batches.isEmpty() || !turns.isEmpty())) {
-            nextBeat = now + BEAT;
-            host.wakeIn(BEAT, 0);
-        }
     }
 
     private int room() {
@@ -446,8 +451,14 @@
         if (b.dispatches > 0 && !mayGoAgain(now, b)) {
             return null;
         }
-        double bounds = engines.stream().filter(Brain::usable).mapToDouble(e -> e.bound).sum();
-        int out = engines.stream().mapToInt(e -> e.threads).sum();
+        double bounds = 0;
+        int out = 0;
+        for (Engine e : engines) {
+            bounds += usable(e) ? e.bound : 0;
+            out += e.threads;
+        }
+        boolean first = first(b);
+        double[] loadOrder = loadOrder(b);
         Engine best = null;
         double most = Double.NEGATIVE_INFINITY;
         for (Engine e : engines) {
@@ -460,15 +471,18 @@
             // Many managers with one lone batch each would fill an engine: all bounds together still hold.
             boolean lone = e.flights.isEmpty() && (out == 0 || out + threads <= bounds);
             boolean fits = lone || e.reserved + grant <= e.slice * warm
-                    && (e.threads + threads <= e.bound * warm || first(b) && !hasFirst(e));
+                    && (e.threads + threads <= e.bound * warm || first && !hasFirst(e));
             boolean easy = warm >= 1 && !pressed(now, e) && e.reserved + grant <= e.memory
                     && e.threads + threads <= e.cores * THREADS_PER_CORE;
             if (!fits && !easy) {
                 continue;
             }
-            double free = (e.slice * warm - e.reserved) / (e.memory * POOL_SHARE * share);
-            double merit = (fits ? 100 : 0) + Math.max(-20, Math.floor(free * ROOM_STEPS)) * 2
-                    + (nearby && e.zone == zone ? 1 : 0) + nearness(b, e) - (e == b.last ? 50 : 0);
+            // With less than a batch of an engine as our part, a slice that grew would draw all to one engine.
+            boolean part = e.cores * THREADS_PER_CORE * share >= threads;
+            double free = part ? (e.slice * warm - e.reserved) / (e.memory * POOL_SHARE * share)
+                    : -e.reserved / grant;
+            double merit = (fits || easy && !part ? 100 : 0) + Math.max(-20, Math.floor(free * ROOM_STEPS)) * 2
+                    + (nearby && e.zone == zone ? 1 : 0) + nearness(b, e, loadOrder) - (e == b.last ? 50 : 0);
             if (merit > most) {
                 most = merit;
                 best = e;
@@ -491,23 +505,29 @@
 
     /**
      * Readers of the same tables go to the same engines, which keep them warm. Loads of the same tables stand
-     * still for each other, and no manager sees another's: they divide the engines, from the coldest for the
-     * tables on, by the managers' numbers, and that outweighs free room.
+     * still for each other, and readers behind them; no manager sees another's: they divide the engines, from
+     * the coldest for the tables on, by the managers' numbers, and that outweighs free room. Where our part of
+     * an engine is less than this batch, all managers see the same empty engines and would meet on one: then
+     * chance decides, among the readers' own engines first.
      */
-    private double nearness(Batch b, Engine e) {
+    private double nearness(Batch b, Engine e, double[] loadOrder) {
         double affinity = e.affinity(b.is.tables());
-        if (!b.group.is.load() || b.is.tables() < 0) {
-            return affinity;
+        if (loadOrder != null) {
+            int others = Math.min(managers, (int) Math.ceil(loadOrder.length * READERS_FROM));
+            int place = Arrays.binarySearch(loadOrder, affinity);
+            return ((place - rank) % others == 0 ? OWN_PLACE : 0) - affinity;
         }
-        int place = 0;
-        int count = 0;
-        for (Engine other : engines) {
-            if (other.standing == Standing.ACTIVE) {
-                count++;
-                place += other.affinity(b.is.tables()) < affinity ? 1 : 0;
-            }
+        if (e.cores * THREADS_PER_CORE * share >= b.group.is.threads()) {
+            return affinity;
         }
-        return (place - rank) % Math.min(managers, count) == 0 ? OWN_PLACE : 0;
+        return (affinity >= READERS_FROM ? READERS : 0) + chance.nextDouble();
+    }
+
+    /** The active engines' affinities to a load's tables, coldest first; null for other batches. */
+    private double[] loadOrder(Batch b) {
+        return !b.group.is.load() || b.is.tables() < 0 ? null : engines.stream()
+                .filter(e -> e.standing == Standing.ACTIVE)
+                .mapToDouble(e -> e.affinity(b.is.tables())).sorted().toArray();
     }
 
     private static boolean usable(Engine e) {
@@ -688,14 +708,14 @@
                 }
                 e.slow.halve();
             }
-            if (now >= e.restUntil) {
+            if (e.health != Health.READY && now >= e.restUntil) {
                 health(now, e, News.RESTED);
             }
-            if (e.flights.stream().anyMatch(f -> !f.inLine
-                    && now - Math.max(f.sent, e.heard) > patience(f))) {
-                health(now, e, News.QUIET);
-            }
-            for (Flight f : new ArrayList<>(e.flights)) {
+            for (int i = 0; i < e.flights.size(); i++) {
+                Flight f = e.flights.get(i);
+                if (!f.inLine && now - Math.max(f.sent, e.heard) > patience(f)) {
+                    health(now, e, News.QUIET);
+                }
                 rescue(now, f);
             }
         }
--- a/src/test/java/firstage/BrainStoriesTest.java
+++ b/src/test/java/firstage/BrainStoriesTest.java
@@ -337,6 +337,17 @@
         assertThat(host.answered(30)).isFalse();
     }
 
+    @Test
+    void managersWithLessThanABatchOfAnEngineDoNotAllMeetOnOne() {
+        host.managers = 64;
+        host.start(12);
+        for (int b = 0; b < 30; b++) {
+            host.takeReading(b, LOOKUP, 5).end(b, Outcome.RETURNED);
+        }
+        // All see every engine empty: the tables' own third of the engines is shared out by chance.
+        assertThat(Set.copyOf(host.lastEngine.values())).hasSizeBetween(3, 6);
+    }
+
     @Test
     void loadsOfTheSameTablesGoToDifferentEngines() {
         host.start(4).takeReading(1, LOAD, 5).takeReading(2, LOAD, 5).takeReading(3, LOOKUP, 5);
