--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -54,7 +54,6 @@
     private static final double OVER_SHARE_ROOM = 0.2; // of the queue for customers beyond their share
     private static final int FIRST_RANK = 3; // the priority of what pays best for its work
     private static final double READERS_FROM = 0.67; // of the engines in a table's order: a third reads it
-    private static final double READERS = 1; // in steps of rank, half a step of room: chance still counts
     private static final double OWN_PLACE = 30; // in steps of rank: above any free room, below fitting
     private static final long COME_BACK = 5_000; // a client should stay away: half a queue clears in it
     private static final long FADE = 10_000; // between halvings of slowness: old samples are gone in seconds
@@ -477,11 +476,8 @@
             if (!fits && !easy) {
                 continue;
             }
-            // With less than a batch of an engine as our part, a slice that grew would draw all to one engine.
-            boolean part = e.cores * THREADS_PER_CORE * share >= threads;
-            double free = part ? (e.slice * warm - e.reserved) / (e.memory * POOL_SHARE * share)
-                    : -e.reserved / grant;
-            double merit = (fits || easy && !part ? 100 : 0) + Math.max(-20, Math.floor(free * ROOM_STEPS)) * 2
+            double free = (e.slice * warm - e.reserved) / (e.memory * POOL_SHARE * share);
+            double merit = (fits ? 100 : 0) + Math.max(-20, Math.floor(free * ROOM_STEPS)) * 2
                     + (nearby && e.zone == zone ? 1 : 0) + nearness(b, e, loadOrder) - (e == b.last ? 50 : 0);
             if (merit > most) {
                 most = merit;
@@ -506,9 +502,8 @@
     /**
      * Readers of the same tables go to the same engines, which keep them warm. Loads of the same tables stand
      * still for each other, and readers behind them; no manager sees another's: they divide the engines, from
-     * the coldest for the tables on, by the managers' numbers, and that outweighs free room. Where our part of
-     * an engine is less than this batch, all managers see the same empty engines and would meet on one: then
-     * chance decides, among the readers' own engines first.
+     * the coldest for the tables on, by the managers' numbers; that outweighs free room. Where our part
+     * of an engine is under this batch, all managers see the same empty engines: chance keeps them apart.
      */
     private double nearness(Batch b, Engine e, double[] loadOrder) {
         double affinity = e.affinity(b.is.tables());
@@ -520,7 +515,7 @@
         if (e.cores * THREADS_PER_CORE * share >= b.group.is.threads()) {
             return affinity;
         }
-        return (affinity >= READERS_FROM ? READERS : 0) + chance.nextDouble();
+        return chance.nextDouble();
     }
 
     /** The active engines' affinities to a load's tables, coldest first; null for other batches. */
