--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -54,6 +54,13 @@
     private static final double OVER_SHARE_ROOM = 0.2; // of the queue for customers beyond their share
     private static final int FIRST_RANK = 3; // the priority of what pays best for its work
     private static final double READERS_FROM = 0.67; // of the engines in a table's order: a third reads it
+    private static final int LOOKS = 3; // engines asked before a batch goes: two choices, and one to spare
+    private static final double LOOK_SHARE = 0.01; // of a batch's utility that one probe may cost
+    private static final long LOOK_WAIT = 200; // for the answers: many times a way there and back
+    private static final long LOOK_AGAIN = 5_000; // where all were full: reports are some tenths of a second old
+    private static final double LEAST_CEILING = 0.2; // of an engine's room: below it cores would stand idle
+    private static final double CEILING_STEP = 0.8; // a second of slowness: a few of them must agree
+    private static final double CEILING_GROWTH = 0.02; // a clean answer
     private static final double OWN_PLACE = 30; // in steps of rank: above any free room, below fitting
     private static final long COME_BACK = 5_000; // a client should stay away: half a queue clears in it
     private static final long FADE = 10_000; // between halvings of slowness: old samples are gone in seconds
@@ -120,6 +127,8 @@
     private final int zone;
     private final boolean nearby;
     private final double largestGrant;
+    private final double probePrice;
+    private final Mean worth = new Mean(GROUP_SAMPLES);
     private final long notePace;
     private final double[] customerRate;
     private final double[] customerTokens;
@@ -134,6 +143,7 @@
     private long nextBeat;
     private long nextFade;
     private boolean crowded;
+    private double ceiling = 1;
     private boolean subscribe;
     private boolean stirred;
 
@@ -151,6 +161,7 @@
         zone = deployment.zone();
         nearby = deployment.crossingCosts();
         largestGrant = deployment.largestGrant();
+        probePrice = deployment.probePrice();
         notePace = deployment.notePace();
         subscribe = deployment.asksForList();
         customerRate = deployment.customerRates().stream().mapToDouble(r -> r * share / 10_000).toArray();
@@ -175,6 +186,7 @@
             b.overShare = customerTokens[arrival.customer()] < 1;
             customerTokens[arrival.customer()] = Math.max(0, customerTokens[arrival.customer()] - 1);
         }
+        worth.add(is.utility());
         batches.put(arrival.batch(), b);
         stirred = true;
         held.put(b.order, b);
@@ -319,6 +331,7 @@
     @Override
     public void probed(long now, int index, Outcome outcome, Report report) {
         report(now, engine(index), report);
+        stirred = true;
     }
 
     @Override
@@ -327,7 +340,15 @@
     }
 
     private void report(long now, Engine e, Report report) {
-        if (report != null && (report.waiting() >= 1 || report.active() > e.cores * THREADS_PER_CORE)) {
+        if (report == null) {
+            return;
+        }
+        e.toldAt = now;
+        e.crowd = 0;
+        for (double figure : new double[] {report.waiting(), report.memoryShare(), report.active() / (e.cores * THREADS_PER_CORE)}) {
+            e.crowd = figure > e.crowd ? figure : e.crowd; // what is not told compares as false
+        }
+        if (e.crowd >= 1) {
             press(now, e);
         }
     }
@@ -458,6 +479,14 @@
         }
         boolean first = first(b);
         double[] loadOrder = loadOrder(b);
+        boolean looks = looks(b);
+        if (looks && now < b.lookedAt + LOOK_WAIT && b.looked.stream().anyMatch(e -> e.toldAt < b.lookedAt)) {
+            return null;
+        }
+        if (looks && now >= b.lookedAt + LOOK_AGAIN) {
+            look(now, b);
+            return null;
+        }
         Engine best = null;
         double most = Double.NEGATIVE_INFINITY;
         for (Engine e : engines) {
@@ -473,12 +502,12 @@
                     && (e.threads + threads <= e.bound * warm || first && !hasFirst(e));
             boolean easy = warm >= 1 && !pressed(now, e) && e.reserved + grant <= e.memory
                     && e.threads + threads <= e.cores * THREADS_PER_CORE;
-            if (!fits && !easy) {
+            if (looks ? !b.looked.contains(e) || e.toldAt < b.lookedAt || e.crowd >= ceiling : !fits && !easy) {
                 continue;
             }
             double free = (e.slice * warm - e.reserved) / (e.memory * POOL_SHARE * share);
             double merit = (fits ? 100 : 0) + Math.max(-20, Math.floor(free * ROOM_STEPS)) * 2
-                    + (nearby && e.zone == zone ? 1 : 0) + nearness(b, e, loadOrder) - (e == b.last ? 50 : 0);
+                    + (nearby && e.zone == zone ? 1 : 0) + nearness(b, e, loadOrder) - (looks ? 1000 * e.crowd : 0) - (e == b.last ? 50 : 0);
             if (merit > most) {
                 most = merit;
                 best = e;
@@ -487,6 +516,28 @@
         return best;
     }
 
+    /** Whether this batch looks at some engines before it goes. */
+    private boolean looks(Batch b) {
+        return probePrice >= 0 && b.group.is.utility() * LOOK_SHARE >= probePrice * worth.or(1)
+                && machines.get(0).cores() * THREADS_PER_CORE * share < b.group.is.threads();
+    }
+
+    private void look(long now, Batch b) {
+        b.looked = new ArrayList<>();
+        b.lookedAt = now;
+        List<Engine> from = new ArrayList<>();
+        for (Engine e : engines) {
+            if (open(now, b, e)) {
+                from.add(e);
+            }
+        }
+        while (b.looked.size() < LOOKS && !from.isEmpty()) {
+            Engine e = from.remove(chance.nextInt(from.size()));
+            b.looked.add(e);
+            host.probe(e.index);
+        }
+    }
+
     private boolean first(Batch b) {
         return priority(b) == FIRST_RANK;
     }
@@ -628,6 +679,7 @@
             slowed(now, e, slowness);
         }
         if (slowness < CALM && slowness(e) < CALM) {
+            ceiling = Math.min(1, ceiling + CEILING_GROWTH);
             // Both grow only while in use: an idle hour must not open the engine for a burst.
             if (e.threads + threads >= e.bound / 2) {
                 e.bound = Math.min(e.cores * THREADS_PER_CORE, e.bound + threads * GROW);
@@ -684,6 +736,7 @@
     private void watch(long now) {
         boolean fade = now >= nextFade;
         if (fade) {
+            ceiling = fleet.quantile(0.5) > SLOW ? Math.max(LEAST_CEILING, ceiling * CEILING_STEP) : ceiling;
             fleet.halve();
             groups.forEach(g -> g.best *= BEST_DRIFT);
             for (int c = 0; c < customerTokens.length; c++) {
--- a/src/main/java/firstage/door/Deployment.java
+++ b/src/main/java/firstage/door/Deployment.java
@@ -2,10 +2,13 @@
 
 import java.util.List;
 
-/** What a workload manager is told of its deployment at start; absent figures are 0, lists empty. */
+/**
+ * What a workload manager is told of its deployment at start; absent figures are 0, lists empty.
+ * {@code probePrice} is in shares of a mean batch's utility, below 0 where engines may not be probed.
+ */
 public record Deployment(long seed, int managers, int rank, int zone, List<ServiceGroup> groups,
                          List<Machine> machines, List<Double> customerRates, Allowed allowed, Rules rules, double largestGrant,
-                         long notePace, boolean asksForList, boolean crossingCosts, boolean probing) {
+                         long notePace, boolean asksForList, boolean crossingCosts, double probePrice) {
     public record Machine(int cores, double memoryMb) {
     }
 
--- a/src/main/java/firstage/state/Batch.java
+++ b/src/main/java/firstage/state/Batch.java
@@ -22,6 +22,9 @@
     public Engine firstEngine;
     public Engine last;
     public boolean closed;
+    /** The engines asked for their load before it goes, and when. */
+    public List<Engine> looked = List.of();
+    public long lookedAt;
     public final List<Flight> out = new ArrayList<>();
 
     public Batch(Arrival is, Group group, long order, long taken) {
--- a/src/main/java/firstage/state/Engine.java
+++ b/src/main/java/firstage/state/Engine.java
@@ -30,6 +30,9 @@
     /** Errors since it last returned a batch. */
     public int errors;
     public long pressedUntil;
+    /** When it last told of its load, and how crowded it said it was: 1 is full. */
+    public long toldAt = Long.MIN_VALUE / 2;
+    public double crowd;
     public long shrunk;
     /** Latency over the best of its group. */
     public final Bins slow = new Bins();
--- a/src/test/java/firstage/FakeHost.java
+++ b/src/test/java/firstage/FakeHost.java
@@ -32,6 +32,7 @@
     // What a story may change before it starts.
     int managers = 1;
     long seed = 7;
+    double probePrice = -1;
     boolean estimate = true;
     boolean callOff;
     boolean secondCopies;
@@ -51,7 +52,7 @@
         brain = new Brain(new Deployment(seed, managers, 0, 0, groups,
                 List.of(new Deployment.Machine(8, memoryMb)), rates, new Deployment.Allowed(callOff, secondCopies, true, true, true, 4, 2 * SECOND),
                 new Deployment.Rules(0.3, 10 * SECOND, 2, 2 * SECOND, SECOND / 2, furtherRatio, 1, 10 * SECOND),
-                0.5, notePace, false, false, false), this);
+                0.5, notePace, false, false, probePrice), this);
         List<Entry> entries = new ArrayList<>();
         for (int e = 0; e < engines; e++) {
             entries.add(entry(e, Standing.ACTIVE, 0));
