--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -58,9 +58,6 @@
     private static final double LOOK_SHARE = 0.01; // of a batch's utility that one probe may cost
     private static final long LOOK_WAIT = 200; // for the answers: many times a way there and back
     private static final long LOOK_AGAIN = 5_000; // where all were full: reports are some tenths of a second old
-    private static final double LEAST_CEILING = 0.2; // of an engine's room: below it cores would stand idle
-    private static final double CEILING_STEP = 0.8; // a second of slowness: a few of them must agree
-    private static final double CEILING_GROWTH = 0.02; // a clean answer
     private static final double OWN_PLACE = 30; // in steps of rank: above any free room, below fitting
     private static final long COME_BACK = 5_000; // a client should stay away: half a queue clears in it
     private static final long FADE = 10_000; // between halvings of slowness: old samples are gone in seconds
@@ -143,7 +140,6 @@
     private long nextBeat;
     private long nextFade;
     private boolean crowded;
-    private double ceiling = 1;
     private boolean subscribe;
     private boolean stirred;
 
@@ -345,6 +341,7 @@
         }
         e.toldAt = now;
         e.crowd = 0;
+        e.noLine = report.waiting() < 1;
         for (double figure : new double[] {report.waiting(), report.memoryShare(), report.active() / (e.cores * THREADS_PER_CORE)}) {
             e.crowd = figure > e.crowd ? figure : e.crowd; // what is not told compares as false
         }
@@ -502,7 +499,8 @@
                     && (e.threads + threads <= e.bound * warm || first && !hasFirst(e));
             boolean easy = warm >= 1 && !pressed(now, e) && e.reserved + grant <= e.memory
                     && e.threads + threads <= e.cores * THREADS_PER_CORE;
-            if (looks ? !b.looked.contains(e) || e.toldAt < b.lookedAt || e.crowd >= ceiling : !fits && !easy) {
+            boolean told = looks && b.looked.contains(e) && e.toldAt >= b.lookedAt && e.crowd < 1;
+            if (looks && !told || !fits && !easy && !(told && e.noLine)) {
                 continue;
             }
             double free = (e.slice * warm - e.reserved) / (e.memory * POOL_SHARE * share);
@@ -679,7 +677,6 @@
             slowed(now, e, slowness);
         }
         if (slowness < CALM && slowness(e) < CALM) {
-            ceiling = Math.min(1, ceiling + CEILING_GROWTH);
             // Both grow only while in use: an idle hour must not open the engine for a burst.
             if (e.threads + threads >= e.bound / 2) {
                 e.bound = Math.min(e.cores * THREADS_PER_CORE, e.bound + threads * GROW);
@@ -736,7 +733,6 @@
     private void watch(long now) {
         boolean fade = now >= nextFade;
         if (fade) {
-            ceiling = fleet.quantile(0.5) > SLOW ? Math.max(LEAST_CEILING, ceiling * CEILING_STEP) : ceiling;
             fleet.halve();
             groups.forEach(g -> g.best *= BEST_DRIFT);
             for (int c = 0; c < customerTokens.length; c++) {
--- a/src/main/java/firstage/state/Engine.java
+++ b/src/main/java/firstage/state/Engine.java
@@ -33,6 +33,8 @@
     /** When it last told of its load, and how crowded it said it was: 1 is full. */
     public long toldAt = Long.MIN_VALUE / 2;
     public double crowd;
+    /** It told that no batch waits in its line. */
+    public boolean noLine;
     public long shrunk;
     /** Latency over the best of its group. */
     public final Bins slow = new Bins();
--- a/src/test/java/firstage/BrainStoriesTest.java
+++ b/src/test/java/firstage/BrainStoriesTest.java
@@ -350,6 +350,24 @@
         assertThat(met).hasSizeGreaterThan(3);
     }
 
+    @Test
+    void withLessThanABatchOfAnEngineACostlyBatchLooksForOneWithoutALine() {
+        host.managers = 64;
+        host.probePrice = 0.01;
+        host.start(3).take(1, REPORT);
+        assertThat(host.acts).contains("probe 0", "probe 1", "probe 2");
+        assertThat(host.sent(1)).isZero();
+        for (int e = 0; e < 3; e++) {
+            host.brain.probed(host.now, e, Outcome.RETURNED, new Report(0, e == 1 ? 0 : 4, 0, 0, 0));
+        }
+        host.brain.turn(host.now);
+        assertThat(host.on(1)).isEqualTo(1);
+        // The three probes of a lookup would cost more than it can lose.
+        host.acts.clear();
+        host.take(2, LOOKUP);
+        assertThat(host.acts).noneMatch(act -> act.startsWith("probe"));
+    }
+
     @Test
     void loadsOfTheSameTablesGoToDifferentEngines() {
         host.start(4).takeReading(1, LOAD, 5).takeReading(2, LOAD, 5).takeReading(3, LOOKUP, 5);
