Costly batches look at three engines before they go, where our part is under one batch

Cause: with hundreds of managers our own outcomes tell nothing of an engine's state; lone batches met on full engines. It also catches engines that no longer answer probes; it may hurt where reports are older than a batch's run.

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -3,6 +3,7 @@
 import firstage.door.*;
 import firstage.door.EngineList.Standing;
 import firstage.door.ServiceGroup.Effect;
+import firstage.door.ServiceGroup.Scope;
 import firstage.state.*;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -57,10 +58,13 @@
     private static final int LOOKS = 3; // engines asked before a batch goes: two choices, and one to spare
     private static final double LOOK_SHARE = 0.01; // of a batch's utility that one probe may cost
     private static final long LOOK_WAIT = 200; // for the answers: many times a way there and back
-    private static final long LOOK_AGAIN = 5_000; // where all were full: reports are some tenths of a second old
+    private static final long LINE = 20_000; // a line seen is taken to last: about a long batch's run
+    private static final long LOOK_AGAIN = 5_000; // where all were full: reports are tenths of a second old
+    private static final double CROWDING = 1_000; // of a full engine, in steps of rank: a look decides
     private static final double OWN_PLACE = 30; // in steps of rank: above any free room, below fitting
     private static final long COME_BACK = 5_000; // a client should stay away: half a queue clears in it
     private static final long FADE = 10_000; // between halvings of slowness: old samples are gone in seconds
+    private static final double SECOND = 10_000; // in our unit of time
     private static final long CUSTOMER_SPAN = 50_000; // of its share may be used at once: bursts are no abuse
     private static final double ENOUGH = 12; // samples before an engine's own median counts, not the fleet's
     private static final int GROUP_SAMPLES = 64; // after which a group's measurements are halved
@@ -125,10 +129,10 @@
     private final boolean nearby;
     private final double largestGrant;
     private final double probePrice;
+    private final double part;
     private final Mean worth = new Mean(GROUP_SAMPLES);
     private final long notePace;
-    private final double[] customerRate;
-    private final double[] customerTokens;
+    private final List<Quota> quotas;
     private final List<Engine> engines = new ArrayList<>();
     private final Map<Integer, Batch> batches = new HashMap<>();
     private final TreeMap<Long, Batch> held = new TreeMap<>();
@@ -158,10 +162,11 @@
         nearby = deployment.crossingCosts();
         largestGrant = deployment.largestGrant();
         probePrice = deployment.probePrice();
+        part = THREADS_PER_CORE * share * machines.stream().mapToInt(Deployment.Machine::cores).max().orElse(1);
         notePace = deployment.notePace();
         subscribe = deployment.asksForList();
-        customerRate = deployment.customerRates().stream().mapToDouble(r -> r * share / 10_000).toArray();
-        customerTokens = Arrays.stream(customerRate).map(r -> r * CUSTOMER_SPAN).toArray();
+        quotas = deployment.customerRates().stream()
+                .map(r -> new Quota(r * share / SECOND, CUSTOMER_SPAN)).toList();
         for (ServiceGroup is : deployment.groups()) {
             groups.add(new Group(is, FIRST_MARGIN, FIRST_BEST, GROUP_SAMPLES));
         }
@@ -177,11 +182,9 @@
             host.forgetKey(arrival.key());
         }
         ServiceGroup is = b.group.is;
-        b.goalAt = now + is.goal() + (long) (is.stretch() * expectedWork(b) / is.threads());
-        if (arrival.customer() >= 0 && arrival.customer() < customerTokens.length) {
-            b.overShare = customerTokens[arrival.customer()] < 1;
-            customerTokens[arrival.customer()] = Math.max(0, customerTokens[arrival.customer()] - 1);
-        }
+        b.goalAt = now + is.goal() + (long) (is.stretch() * b.expectedWork() / is.threads());
+        b.overShare = arrival.customer() >= 0 && arrival.customer() < quotas.size()
+                && !quotas.get(arrival.customer()).take();
         worth.add(is.utility());
         batches.put(arrival.batch(), b);
         stirred = true;
@@ -199,14 +202,10 @@
         Engine e = f.engine;
         Outcome how = ending.outcome();
         b.out.remove(f);
-        land(f);
+        e.land(f);
         stirred = true;
         if (how.mayHaveRun) {
-            if (!b.mayHaveRun || f.sent < b.firstRun) {
-                b.firstRun = f.sent;
-                b.firstEngine = e;
-            }
-            b.mayHaveRun = true;
+            b.ran(f);
         }
         if (TELLS.containsKey(how)) {
             e.heard = now;
@@ -222,7 +221,7 @@
         } else if (how == Outcome.TIMED_OUT && usable(e)) {
             // Where nothing comes back no answer could tell of the jam: a time-out counts as a slow answer,
             // unless the engine is known as silent: its trouble is not the others' pressure.
-            slowed(now, e, (now - f.sent) * b.group.is.threads() / expectedWork(b));
+            slowed(now, e, (now - f.sent) * b.group.is.threads() / b.expectedWork());
         }
         if (how == Outcome.RETURNED) {
             learn(now, f, ending);
@@ -268,6 +267,7 @@
                 // Memory that others wait for was granted too freely: margins give way before batches do.
                 b.group.margin = Math.max(LEAST_MARGIN, b.group.margin - (f.waited ? 0 : MARGIN_DOWN * 2));
                 f.waited = true;
+                e.lineAt = now;
                 press(now, e);
                 shrink(now, e, false);
             }
@@ -298,20 +298,13 @@
         stirred = true;
         for (EngineList.Entry entry : list.entries()) {
             Engine e = engine(entry.engine());
-            boolean restarted = entry.since() > e.since && e.mark != 0;
-            e.mark = entry.mark();
-            e.zone = entry.zone();
-            e.cell = entry.cell();
-            e.standing = entry.standing();
-            e.since = Math.max(e.since, entry.since());
+            if (e.listed(entry)) {
+                health(now, e, News.RESTARTED);
+            }
             if (e.cores == 0 || e.kind != entry.kind()) {
                 e.kind = entry.kind();
                 measure(e);
             }
-            if (restarted) {
-                e.loaded.clear();
-                health(now, e, News.RESTARTED);
-            }
         }
     }
 
@@ -340,11 +333,10 @@
             return;
         }
         e.toldAt = now;
-        e.crowd = 0;
         e.noLine = report.waiting() < 1;
-        for (double figure : new double[] {report.waiting(), report.memoryShare(), report.active() / (e.cores * THREADS_PER_CORE)}) {
-            e.crowd = figure > e.crowd ? figure : e.crowd; // what is not told compares as false
-        }
+        e.lineAt = report.waiting() >= 1 ? now : e.lineAt;
+        double[] figures = {report.waiting(), report.memoryShare(), report.active() / e.cores / THREADS_PER_CORE};
+        e.crowd = Arrays.stream(figures).filter(f -> f > 0).max().orElse(0); // not a number: not told
         if (e.crowd >= 1) {
             press(now, e);
         }
@@ -405,7 +397,7 @@
      */
     private long giveUpAt(Batch b) {
         boolean told = b.is.estimate() > 0;
-        double run = expectedWork(b) / b.group.is.threads() * (told ? 1 : Math.max(1, fleet.quantile(0.5)));
+        double run = b.expectedRun() * (told ? 1 : Math.max(1, fleet.quantile(0.5)));
         boolean byGoal = b.group.is.lateValue() == 0 || crowded && !told;
         return Math.min(b.is.notAfter() - LAST_CALL, (byGoal ? b.goalAt : b.is.notAfter()) - (long) run);
     }
@@ -422,46 +414,26 @@
         host.dispatch(b.is.batch(), e.index, 0);
         b.out.add(f);
         b.last = e;
-        e.reserved += f.grant;
-        e.threads += b.group.is.threads();
-        e.flights.add(f);
+        e.take(f);
         if (cold(now, e) < 1) {
             e.cold.add(now, b.group.usualWork());
         }
     }
 
-    /** Frees what the dispatch reserved. */
-    private void land(Flight f) {
-        if (f.engine.flights.remove(f)) {
-            f.engine.reserved = f.engine.flights.isEmpty() ? 0 : f.engine.reserved - f.grant;
-            f.engine.threads -= f.batch.group.is.threads();
-        }
-    }
-
     private int priority(Batch b) {
         double top = groups.stream().mapToDouble(g -> g.is.utility() / g.usualWork()).max().orElse(1);
-        double rate = b.group.is.utility() / Math.max(1, expectedWork(b)) / top;
+        double rate = b.group.is.utility() / Math.max(1, b.expectedWork()) / top;
         return rate >= 0.6 ? FIRST_RANK : rate >= 0.1 || b.group.is.load() ? 2 : rate >= 0.03 ? 1 : 0;
     }
 
     /** The told estimate or the mean true memory, with the margin; else half a core's memory a thread. */
     private double grant(Batch b, Engine e) {
         Group g = b.group;
-        double figure = memoryFigure(b);
+        double figure = b.memoryFigure();
         double want = figure > 0 ? figure * (1 + g.margin) : e.memory / e.cores / 2 * g.is.threads();
         return Math.max(1, Math.min(want, largestGrant * e.memory));
     }
 
-    private double memoryFigure(Batch b) {
-        Group g = b.group;
-        return b.is.memoryMb() > 0 ? b.is.memoryMb() : g.memory.or(0);
-    }
-
-    private double expectedWork(Batch b) {
-        Group g = b.group;
-        return b.is.estimate() > 0 ? b.is.estimate() * g.best() : g.usualWork();
-    }
-
     // ---- Choice of engine.
     /** The fitting engine with the most free room; where none fits, one without pressure; else none. */
     private Engine choose(long now, Batch b) {
@@ -475,13 +447,13 @@
             out += e.threads;
         }
         boolean first = first(b);
+        boolean small = part < b.group.is.threads();
         double[] loadOrder = loadOrder(b);
         boolean looks = looks(b);
-        if (looks && now < b.lookedAt + LOOK_WAIT && b.looked.stream().anyMatch(e -> e.toldAt < b.lookedAt)) {
-            return null;
-        }
         if (looks && now >= b.lookedAt + LOOK_AGAIN) {
             look(now, b);
+        }
+        if (looks && now < b.lookedAt + LOOK_WAIT && !b.toldAll()) {
             return null;
         }
         Engine best = null;
@@ -494,18 +466,20 @@
             double grant = grant(b, e);
             int threads = b.group.is.threads();
             // Many managers with one lone batch each would fill an engine: all bounds together still hold.
-            boolean lone = e.flights.isEmpty() && (out == 0 || out + threads <= bounds);
+            boolean lone = e.flights.isEmpty() && (out == 0 || out + threads <= bounds)
+                    || small && first && allowed.priorities() && now > e.lineAt + LINE && !hasFirst(e);
             boolean fits = lone || e.reserved + grant <= e.slice * warm
                     && (e.threads + threads <= e.bound * warm || first && !hasFirst(e));
             boolean easy = warm >= 1 && !pressed(now, e) && e.reserved + grant <= e.memory
                     && e.threads + threads <= e.cores * THREADS_PER_CORE;
             boolean told = looks && b.looked.contains(e) && e.toldAt >= b.lookedAt && e.crowd < 1;
-            if (looks && !told || !fits && !easy && !(told && e.noLine)) {
+            if (looks && !told || !fits && !easy && !(told && e.noLine && e.flights.isEmpty())) {
                 continue;
             }
             double free = (e.slice * warm - e.reserved) / (e.memory * POOL_SHARE * share);
             double merit = (fits ? 100 : 0) + Math.max(-20, Math.floor(free * ROOM_STEPS)) * 2
-                    + (nearby && e.zone == zone ? 1 : 0) + nearness(b, e, loadOrder) - (looks ? 1000 * e.crowd : 0) - (e == b.last ? 50 : 0);
+                    + (nearby && e.zone == zone ? 1 : 0) + nearness(b, e, loadOrder)
+                    - (looks ? CROWDING * e.crowd : 0) - (e == b.last ? 50 : 0);
             if (merit > most) {
                 most = merit;
                 best = e;
@@ -517,18 +491,13 @@
     /** Whether this batch looks at some engines before it goes. */
     private boolean looks(Batch b) {
         return probePrice >= 0 && b.group.is.utility() * LOOK_SHARE >= probePrice * worth.or(1)
-                && machines.get(0).cores() * THREADS_PER_CORE * share < b.group.is.threads();
+                && part < b.group.is.threads();
     }
 
     private void look(long now, Batch b) {
         b.looked = new ArrayList<>();
         b.lookedAt = now;
-        List<Engine> from = new ArrayList<>();
-        for (Engine e : engines) {
-            if (open(now, b, e)) {
-                from.add(e);
-            }
-        }
+        List<Engine> from = new ArrayList<>(engines.stream().filter(e -> open(now, b, e)).toList());
         while (b.looked.size() < LOOKS && !from.isEmpty()) {
             Engine e = from.remove(chance.nextInt(from.size()));
             b.looked.add(e);
@@ -561,10 +530,7 @@
             int place = Arrays.binarySearch(loadOrder, affinity);
             return ((place - rank) % others == 0 ? OWN_PLACE : 0) - affinity;
         }
-        if (e.cores * THREADS_PER_CORE * share >= b.group.is.threads()) {
-            return affinity;
-        }
-        return chance.nextDouble();
+        return part >= b.group.is.threads() ? affinity : chance.nextDouble();
     }
 
     /** The active engines' affinities to a load's tables, coldest first; null for other batches. */
@@ -588,21 +554,17 @@
         if (e.health == Health.TRIAL && (!e.flights.isEmpty() || is.effect() != Effect.REPEATABLE)) {
             return false;
         }
-        if (b.out.stream().anyMatch(f -> f.engine == e)) {
+        if (!b.out.isEmpty() && b.out.stream().anyMatch(f -> f.engine == e)) {
             return false;
         }
         if ((b.mayHaveRun || !b.out.isEmpty()) && is.effect() == Effect.REFERENCED) {
             Engine first = b.mayHaveRun ? b.firstEngine : b.out.get(0).engine;
-            boolean inScope = switch (is.scope()) {
-                case ALL -> true;
-                case ZONE -> first.zone == e.zone;
-                case CELL -> first.cell == e.cell;
-            };
-            if (!inScope) {
+            if (is.scope() == Scope.ZONE && first.zone != e.zone
+                    || is.scope() == Scope.CELL && first.cell != e.cell) {
                 return false;
             }
         }
-        if ((is.yieldsToLoads() || is.load()) && b.is.tables() >= 0 && holdsLoad(now, b.is.tables(), e)) {
+        if ((is.yieldsToLoads() || is.load()) && b.is.tables() >= 0 && e.holdsLoad(now, b.is.tables())) {
             return false;
         }
         return cold(now, e) >= 1 || coldRoom(now, b, e);
@@ -612,11 +574,6 @@
         return places.isEmpty() || places.contains(place);
     }
 
-    private static boolean holdsLoad(long now, int tables, Engine e) {
-        return e.loaded.getOrDefault(tables, 0L) > now
-                || e.flights.stream().anyMatch(f -> f.batch.is.tables() == tables && f.batch.group.is.load());
-    }
-
     /** The share of its capacity an engine is sure to have: from the rule's start figure to 1 when warm. */
     private double cold(long now, Engine e) {
         long age = now - e.since;
@@ -650,14 +607,10 @@
         }
         double ratio = ending.took() * threads / truth;
         if (!f.waited) {
-            g.pace.add(ratio);
-            if (g.pace.total() >= GROUP_SAMPLES) {
-                g.best = g.best();
-                g.pace.halve();
-            }
+            g.ran(ratio, GROUP_SAMPLES);
         }
         g.work.add(ending.work() > 0 ? ending.work() : ending.took() * (double) threads);
-        double figure = memoryFigure(b);
+        double figure = b.memoryFigure();
         if (figure > 0) {
             boolean tooShort = ending.memoryMb() > 0 ? ending.memoryMb() > f.grant : f.shortGrant;
             g.margin += tooShort ? MARGIN_UP : pressed(now, e) ? -MARGIN_DOWN : -MARGIN_DOWN / 4;
@@ -694,13 +647,11 @@
     }
 
     private void shrink(long now, Engine e, boolean slow) {
-        if (now - e.shrunk < SHRINK_GAP) {
-            return;
-        }
-        e.shrunk = now;
-        if (!slow) {
+        boolean due = now - e.shrunk >= SHRINK_GAP;
+        e.shrunk = due ? now : e.shrunk;
+        if (due && !slow) {
             e.slice = Math.max(e.memory * POOL_SHARE * share / 2, e.slice * SHRINK);
-        } else {
+        } else if (due) {
             e.bound = Math.max(e.cores * LEAST_PER_CORE * share, e.bound * SHRINK);
         }
     }
@@ -735,10 +686,7 @@
         if (fade) {
             fleet.halve();
             groups.forEach(g -> g.best *= BEST_DRIFT);
-            for (int c = 0; c < customerTokens.length; c++) {
-                double most = customerRate[c] * CUSTOMER_SPAN;
-                customerTokens[c] = Math.min(most, customerTokens[c] + customerRate[c] * FADE);
-            }
+            quotas.forEach(q -> q.fill(FADE));
             nextFade = now + FADE;
         }
         for (Engine e : engines) {
@@ -763,19 +711,15 @@
                 rescue(now, f);
             }
         }
-        turns.entrySet().removeIf(t -> {
-            boolean over = t.getValue().line.isEmpty() && now >= t.getValue().restUntil;
-            if (over) {
-                host.forgetKey(t.getKey());
-            }
-            return over;
-        });
+        List<Integer> over = turns.keySet().stream().filter(key -> turns.get(key).isOver(now)).toList();
+        turns.keySet().removeAll(over);
+        over.forEach(host::forgetKey);
     }
 
     /** How long an engine may be mute with this dispatch out: a few note paces, else well over its run. */
     private long patience(Flight f) {
         return notePace > 0 ? (long) (notePace * NOTES_MISSED)
-                : SILENT_WITHOUT_NOTES + 2 * (long) expectedWork(f.batch) / f.batch.group.is.threads();
+                : SILENT_WITHOUT_NOTES + 2 * f.batch.expectedRun();
     }
 
     /** A dispatch that gets nowhere is called off, or a copy is sent beside it, where both are allowed. */
@@ -800,7 +744,7 @@
     /** Far behind its estimate by its own notes, while a fresh dispatch could still make the goal. */
     private boolean runaway(long now, Flight f) {
         Batch b = f.batch;
-        double fresh = expectedWork(b) / b.group.is.threads();
+        double fresh = b.expectedRun();
         return allowed.callOff() && b.is.estimate() > 0 && f.share > 0 && !f.waited
                 && (now - f.sent) / f.share * (1 - f.share) > RUNAWAY * fresh && now + fresh < b.goalAt;
     }
@@ -817,27 +761,17 @@
     }
 
     private boolean mayGoAgain(long now, Batch b) {
-        if (b.dispatches >= allowed.dispatches() || !b.out.isEmpty() && !allowed.secondCopies()) {
-            return false;
-        }
         Again again = leave(b).again;
-        if (again == Again.NO) {
-            return false;
-        }
-        long first = b.out.stream().mapToLong(f -> f.sent).min().orElse(now);
-        first = b.mayHaveRun ? Math.min(first, b.firstRun) : first;
-        if (again == Again.IN_SCOPE && now >= first + b.group.is.window()) {
-            return false;
-        }
-        return b.dispatches == 0 || withinBudget(now);
+        return again != Again.NO && b.dispatches < allowed.dispatches()
+                && (b.out.isEmpty() || allowed.secondCopies())
+                && (again != Again.IN_SCOPE || now < b.firstSent(now) + b.group.is.window())
+                && (b.dispatches == 0 || withinBudget(now));
     }
 
     /** Rule 7. */
     private boolean withinBudget(long now) {
-        if (rules.furtherRatio() < 0) {
-            return true;
-        }
-        return further.touching(now) + 1 <= rules.furtherFree() + rules.furtherRatio() * taken.within(now);
+        return rules.furtherRatio() < 0 || further.touching(now) + 1
+                <= rules.furtherFree() + rules.furtherRatio() * taken.within(now);
     }
 
     /** Rule 5: the first in its key's line goes, after the rest an earlier one left behind. */
@@ -849,11 +783,8 @@
     /** Answers at once; a pushback only where trying again is harmless. */
     private void giveUp(Batch b) {
         ServiceGroup is = b.group.is;
-        boolean harmless = leave(b).pushBack
-                || is.effect() == Effect.REFERENCED && is.scope() == ServiceGroup.Scope.ALL;
-        if (harmless) {
-            long comeBack = Math.min(COME_BACK, allowed.longestComeBack());
-            host.pushBack(b.is.batch(), allowed.comeBack() ? comeBack : 0);
+        if (leave(b).pushBack || is.effect() == Effect.REFERENCED && is.scope() == Scope.ALL) {
+            host.pushBack(b.is.batch(), allowed.comeBack() ? Math.min(COME_BACK, allowed.longestComeBack()) : 0);
         } else {
             host.error(b.is.batch());
         }
--- a/src/main/java/firstage/state/Batch.java
+++ b/src/main/java/firstage/state/Batch.java
@@ -35,6 +35,44 @@
         this.key = group.is.ordered() ? is.key() : -1;
     }
 
+    /** A dispatch that is over may have run. */
+    public void ran(Flight f) {
+        if (!mayHaveRun || f.sent < firstRun) {
+            firstRun = f.sent;
+            firstEngine = f.engine;
+        }
+        mayHaveRun = true;
+    }
+
+    /** When the earliest dispatch was sent that may have run or is still out; {@code now} without any. */
+    public long firstSent(long now) {
+        long first = mayHaveRun ? firstRun : now;
+        for (Flight f : out) {
+            first = Math.min(first, f.sent);
+        }
+        return first;
+    }
+
+    /** The told estimate, as the group runs at its best, else the work of a usual batch. */
+    public double expectedWork() {
+        return is.estimate() > 0 ? is.estimate() * group.best() : group.usualWork();
+    }
+
+    /** How long that takes on its threads. */
+    public long expectedRun() {
+        return (long) expectedWork() / group.is.threads();
+    }
+
+    /** The told estimate of its memory, else the group's mean; 0 without both. */
+    public double memoryFigure() {
+        return is.memoryMb() > 0 ? is.memoryMb() : group.memory.or(0);
+    }
+
+    /** Whether all engines it looked at have told of their load since. */
+    public boolean toldAll() {
+        return looked.stream().allMatch(e -> e.toldAt >= lookedAt);
+    }
+
     public Flight flight(int number) {
         for (Flight f : out) {
             if (f.number == number) {
--- a/src/main/java/firstage/state/Engine.java
+++ b/src/main/java/firstage/state/Engine.java
@@ -1,5 +1,6 @@
 package firstage.state;
 
+import firstage.door.EngineList.Entry;
 import firstage.door.EngineList.Standing;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -33,8 +34,9 @@
     /** When it last told of its load, and how crowded it said it was: 1 is full. */
     public long toldAt = Long.MIN_VALUE / 2;
     public double crowd;
-    /** It told that no batch waits in its line. */
+    /** It told that no batch waits in its line for memory; and when one was last known to. */
     public boolean noLine;
+    public long lineAt = Long.MIN_VALUE / 2;
     public long shrunk;
     /** Latency over the best of its group. */
     public final Bins slow = new Bins();
@@ -49,6 +51,48 @@
         this.index = index;
     }
 
+    /** What the list says of it; true where it says so of a new start. */
+    public boolean listed(Entry entry) {
+        boolean restarted = entry.since() > since && mark != 0;
+        mark = entry.mark();
+        zone = entry.zone();
+        cell = entry.cell();
+        standing = entry.standing();
+        since = Math.max(since, entry.since());
+        if (restarted) {
+            loaded.clear();
+        }
+        return restarted;
+    }
+
+    /** Reserves what the dispatch needs. */
+    public void take(Flight f) {
+        reserved += f.grant;
+        threads += f.batch.group.is.threads();
+        flights.add(f);
+    }
+
+    /** Frees what the dispatch reserved. */
+    public void land(Flight f) {
+        if (flights.remove(f)) {
+            reserved = flights.isEmpty() ? 0 : reserved - f.grant;
+            threads -= f.batch.group.is.threads();
+        }
+    }
+
+    /** Whether a load is known to hold these tables here. */
+    public boolean holdsLoad(long now, int tables) {
+        if (loaded.getOrDefault(tables, 0L) > now) {
+            return true;
+        }
+        for (Flight f : flights) {
+            if (f.batch.is.tables() == tables && f.batch.group.is.load()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** A number from 0 to 1, the same at every manager, that mixes this engine with the tables. */
     public double affinity(int tables) {
         long h = mark * 0x9E3779B97F4A7C15L ^ tables * 0xC2B2AE3D27D4EB4FL;
--- a/src/main/java/firstage/state/Group.java
+++ b/src/main/java/firstage/state/Group.java
@@ -25,6 +25,15 @@
         return pace.total() > 0 ? Math.min(best, pace.quantile(0.5)) : best;
     }
 
+    /** A pace seen; the lowest median of so many is kept. */
+    public void ran(double ratio, int samples) {
+        pace.add(ratio);
+        if (pace.total() >= samples) {
+            best = best();
+            pace.halve();
+        }
+    }
+
     /** Work of a usual batch, as the cold rule weighs it; the goal where nothing is known yet. */
     public double usualWork() {
         return work.or(is.goal());
--- a/src/main/java/firstage/state/Turn.java
+++ b/src/main/java/firstage/state/Turn.java
@@ -6,4 +6,8 @@
 public final class Turn {
     public final ArrayDeque<Batch> line = new ArrayDeque<>();
     public long restUntil;
+
+    public boolean isOver(long now) {
+        return line.isEmpty() && now >= restUntil;
+    }
 }
