--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -162,7 +162,8 @@
         nearby = deployment.crossingCosts();
         largestGrant = deployment.largestGrant();
         probePrice = deployment.probePrice();
-        part = THREADS_PER_CORE * share * machines.stream().mapToInt(Deployment.Machine::cores).max().orElse(1);
+        int cores = machines.stream().mapToInt(Deployment.Machine::cores).max().orElse(1);
+        part = cores * THREADS_PER_CORE * share;
         notePace = deployment.notePace();
         subscribe = deployment.asksForList();
         quotas = deployment.customerRates().stream()
@@ -335,8 +336,8 @@
         e.toldAt = now;
         e.noLine = report.waiting() < 1;
         e.lineAt = report.waiting() >= 1 ? now : e.lineAt;
-        double[] figures = {report.waiting(), report.memoryShare(), report.active() / e.cores / THREADS_PER_CORE};
-        e.crowd = Arrays.stream(figures).filter(f -> f > 0).max().orElse(0); // not a number: not told
+        double[] told = {report.waiting(), report.memoryShare(), report.active() / e.cores / THREADS_PER_CORE};
+        e.crowd = Arrays.stream(told).filter(f -> f > 0).max().orElse(0); // not a number: not told
         if (e.crowd >= 1) {
             press(now, e);
         }
@@ -784,7 +785,8 @@
     private void giveUp(Batch b) {
         ServiceGroup is = b.group.is;
         if (leave(b).pushBack || is.effect() == Effect.REFERENCED && is.scope() == Scope.ALL) {
-            host.pushBack(b.is.batch(), allowed.comeBack() ? Math.min(COME_BACK, allowed.longestComeBack()) : 0);
+            long comeBack = allowed.comeBack() ? Math.min(COME_BACK, allowed.longestComeBack()) : 0;
+            host.pushBack(b.is.batch(), comeBack);
         } else {
             host.error(b.is.batch());
         }
