--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -49,8 +49,8 @@
     private static final double WARMING = 0.8; // of a straight line: how an engine warms is not told
     private static final double FULL = 0.85; // busy share of the cores at capacity, as the cold rule reckons
     private static final double RUNAWAY = 5; // times a fresh run still ahead: estimates scatter by half of it
-    private static final long BEAT = 200; // between looks at our own timers: a hundredth of a note's patience
-    private static final long LAST_CALL = 500; // before its limit a held batch is answered: over two beats
+    private static final long BEAT = 100; // between looks at our own timers: a hundredth of a note's patience
+    private static final long LAST_CALL = 300; // before its limit a held batch is answered: over two beats
     private static final double ROOM_STEPS = 4; // of a slice that count as alike: there nearness decides
     private static final double OVER_SHARE_ROOM = 0.2; // of the queue for customers beyond their share
     private static final int FIRST_RANK = 3; // the priority of what pays best for its work
@@ -336,7 +336,8 @@
         e.toldAt = now;
         e.noLine = report.waiting() < 1;
         e.lineAt = report.waiting() >= 1 ? now : e.lineAt;
-        double[] told = {report.waiting(), report.memoryShare(), report.active() / e.cores / THREADS_PER_CORE};
+        double[] told = {report.waiting(), report.memoryShare(),
+            report.active() / e.cores / THREADS_PER_CORE};
         e.crowd = Arrays.stream(told).filter(f -> f > 0).max().orElse(0); // not a number: not told
         if (e.crowd >= 1) {
             press(now, e);
@@ -529,7 +530,7 @@
         if (loadOrder != null) {
             int others = Math.min(managers, (int) Math.ceil(loadOrder.length * READERS_FROM));
             int place = Arrays.binarySearch(loadOrder, affinity);
-            return ((place - rank) % others == 0 ? OWN_PLACE : 0) - affinity;
+            return ((place - rank) % others == 0 ? OWN_PLACE : 0);
         }
         return part >= b.group.is.threads() ? affinity : chance.nextDouble();
     }
