The first answers teach the margin more (six times, falling to one)

Cause: a manager that answers two batches a second sees a few reports a minute; its margin stood at the start figure while a third of its grants came out short.

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -30,6 +30,7 @@
     private static final double FIRST_MARGIN = 0.25; // over a memory figure (design): a quarter
     private static final double MARGIN_UP = 0.14; // for a short grant, against ...
     private static final double MARGIN_DOWN = 0.02; // ... for an ample one: one in eight comes out short
+    private static final double EARLY = 6; // answers: the first of few must teach more than one of many
     private static final double LEAST_MARGIN = -0.25; // much below the figure, spilling feeds on itself
     private static final double MOST_MARGIN = 3; // estimates may lie low by four times
     private static final double SLOW = 1.6; // times the best latency: pressed, still short of the knee
@@ -615,7 +616,8 @@
         double figure = b.memoryFigure();
         if (figure > 0) {
             boolean tooShort = ending.memoryMb() > 0 ? ending.memoryMb() > f.grant : f.shortGrant;
-            g.margin += tooShort ? MARGIN_UP : pressed(now, e) ? -MARGIN_DOWN : -MARGIN_DOWN / 4;
+            double step = tooShort ? MARGIN_UP : pressed(now, e) ? -MARGIN_DOWN : -MARGIN_DOWN / 4;
+            g.margin += step * Math.max(1, EARLY / ++g.taught);
             g.margin = Math.max(LEAST_MARGIN, Math.min(MOST_MARGIN, g.margin));
         }
         if (ending.memoryMb() > 0) {
--- a/src/main/java/firstage/state/Group.java
+++ b/src/main/java/firstage/state/Group.java
@@ -12,6 +12,8 @@
     /** The lowest median pace of late. */
     public double best;
     public double margin;
+    /** Answers that taught the margin. */
+    public int taught;
 
     public Group(ServiceGroup is, double margin, double best, int samples) {
         this.is = is;
