What engines told, fading over 5 s, decides the choice where our part is under one batch

Cause: with 200 managers on 42 engines own reservations say nothing of an engine's load, while each answer brings a report. A hard limit of 1 or 3 s in place of fading was alike. It may hurt where reports come seconds late.

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
@@ -61,7 +62,8 @@
     private static final long LOOK_WAIT = 200; // for the answers: many times a way there and back
     private static final long LINE = 20_000; // a line seen is taken to last: about a long batch's run
     private static final long LOOK_AGAIN = 5_000; // where all were full: reports are tenths of a second old
-    private static final double CROWDING = 1_000; // of a full engine, in steps of rank: a look decides
+    private static final double CROWDING = 500; // of a full engine, in steps of rank: above any own room
+    private static final long FRESH = 50_000; // what an engine told fades over this: about a long batch
     private static final double OWN_PLACE = 30; // in steps of rank: above any free room, below fitting
     private static final long COME_BACK = 5_000; // a client should stay away: half a queue clears in it
     private static final long FADE = 10_000; // between halvings of slowness: old samples are gone in seconds
@@ -140,6 +142,7 @@
     private final Map<Integer, Turn> turns = new HashMap<>();
     private final Tally taken;
     private final Tally further;
+    private final Mean usual = new Mean(GROUP_SAMPLES);
     private final Bins fleet = new Bins();
     private long arrivals;
     private long nextBeat;
@@ -282,10 +285,7 @@
 
     @Override
     public void clientLeft(long now, int batch) {
-        Batch b = batches.get(batch);
-        if (b != null) {
-            close(b);
-        }
+        Optional.ofNullable(batches.get(batch)).ifPresent(this::close);
     }
 
     @Override
@@ -336,6 +336,7 @@
         }
         e.toldAt = now;
         e.noLine = report.waiting() < 1;
+        usual.add(e.crowd);
         e.lineAt = report.waiting() >= 1 ? now : e.lineAt;
         double[] told = {report.waiting(), report.memoryShare(),
             report.active() / e.cores / THREADS_PER_CORE};
@@ -408,9 +409,7 @@
     private void send(long now, Batch b, Engine e) {
         held.remove(b.order);
         Flight f = new Flight(b, e, b.dispatches++, now, grant(b, e));
-        if (f.number > 0) {
-            further.add(now, 1);
-        }
+        further.add(now, f.number > 0 ? 1 : 0);
         if (allowed.grants() || allowed.priorities()) {
             host.provide(b.is.batch(), allowed.grants() ? (int) Math.ceil(f.grant) : 0, priority(b));
         }
@@ -418,9 +417,7 @@
         b.out.add(f);
         b.last = e;
         e.take(f);
-        if (cold(now, e) < 1) {
-            e.cold.add(now, b.group.usualWork());
-        }
+        e.cold.add(now, cold(now, e) < 1 ? b.group.usualWork() : 0);
     }
 
     private int priority(Batch b) {
@@ -449,7 +446,7 @@
             bounds += usable(e) ? e.bound : 0;
             out += e.threads;
         }
-        boolean first = first(b);
+        boolean first = priority(b) == FIRST_RANK;
         boolean small = part < b.group.is.threads();
         double[] loadOrder = loadOrder(b);
         boolean looks = looks(b);
@@ -482,7 +479,7 @@
             double free = (e.slice * warm - e.reserved) / (e.memory * POOL_SHARE * share);
             double merit = (fits ? 100 : 0) + Math.max(-20, Math.floor(free * ROOM_STEPS)) * 2
                     + (nearby && e.zone == zone ? 1 : 0) + nearness(b, e, loadOrder)
-                    - (looks ? CROWDING * e.crowd : 0) - (e == b.last ? 50 : 0);
+                    - (small ? CROWDING * crowd(now, e) : 0) - (e == b.last ? 50 : 0);
             if (merit > most) {
                 most = merit;
                 best = e;
@@ -491,6 +488,12 @@
         return best;
     }
 
+    /** How crowded an engine is held to be: as it told, and the older that is, the more as all tell. */
+    private double crowd(long now, Engine e) {
+        double all = usual.or(0);
+        return all + (e.crowd - all) * Math.max(0, 1 - (double) (now - e.toldAt) / FRESH);
+    }
+
     /** Whether this batch looks at some engines before it goes. */
     private boolean looks(Batch b) {
         return probePrice >= 0 && b.group.is.utility() * LOOK_SHARE >= probePrice * worth.or(1)
@@ -508,16 +511,12 @@
         }
     }
 
-    private boolean first(Batch b) {
-        return priority(b) == FIRST_RANK;
-    }
-
     /**
      * One batch of the first rank may run past the bound, as one of any rank may where nothing is out: in a
      * burst, long batches would fill every bound and the many short ones would starve behind them.
      */
     private boolean hasFirst(Engine e) {
-        return e.flights.stream().anyMatch(f -> first(f.batch));
+        return e.flights.stream().anyMatch(f -> priority(f.batch) == FIRST_RANK);
     }
 
     /**
--- a/src/test/java/firstage/BrainStoriesTest.java
+++ b/src/test/java/firstage/BrainStoriesTest.java
@@ -368,6 +368,18 @@
         assertThat(host.acts).noneMatch(act -> act.startsWith("probe"));
     }
 
+    @Test
+    void anEngineThatToldOfACrowdIsPassedOverWhileThatIsFresh() {
+        host.managers = 64;
+        host.start(2);
+        host.brain.probed(host.now, 0, Outcome.RETURNED, new Report(14, 0, 0, 0, 0));
+        host.brain.probed(host.now, 1, Outcome.RETURNED, new Report(2, 0, 0, 0, 0));
+        for (int b = 0; b < 8; b++) {
+            assertThat(host.take(b, LOOKUP).on(b)).isEqualTo(1);
+            host.end(b, Outcome.RETURNED);
+        }
+    }
+
     @Test
     void loadsOfTheSameTablesGoToDifferentEngines() {
         host.start(4).takeReading(1, LOAD, 5).takeReading(2, LOAD, 5).takeReading(3, LOOKUP, 5);
