Short batches for cold engines are drawn by lot where every part is under one batch

Cause: with 200 to 300 managers the cold budget of each is less than any batch, so a cold engine got nothing until it was warm, and a fleet that restarts whole would have served nothing at all. The lots give at most 0.4 of the rule's budget a window.

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -48,6 +48,9 @@
     private static final long FIRST_REST = 10_000; // before the first trial of an engine; doubled up to ...
     private static final long MOST_REST = 80_000; // ... this: a trial costs one batch
     private static final double COLD_SAFETY = 0.9; // of the cold budget: others and chance need the rest
+    private static final double COLD_LOTS = 0.4; // of the budget a window: two may meet, and lots scatter
+    private static final double COLD_SHORT = 0.05; // of the budget: of such batches twenty may be wrong by one
+    private static final double GOLDEN = 0.618034; // strews the managers' numbers evenly over the lots
     private static final double WARMING = 0.8; // of a straight line: how an engine warms is not told
     private static final double FULL = 0.85; // busy share of the cores at capacity, as the cold rule reckons
     private static final double RUNAWAY = 5; // times a fresh run still ahead: estimates scatter by half of it
@@ -591,9 +594,13 @@
         if (rules.tipMultiple() <= 0) {
             return true;
         }
-        double sent = e.cold.touching(now) + b.group.usualWork();
+        double work = b.group.usualWork();
+        double sent = e.cold.touching(now);
         double stands = rules.tipMultiple() * cold(now, e) * e.cores * FULL * rules.fall();
-        return sent <= stands * share * COLD_SAFETY;
+        // Hundreds of parts are less than any batch each: then short batches draw lots, the same at every manager.
+        double lot = (rank * GOLDEN + e.affinity((int) ((now - e.since) / rules.fall()))) % 1;
+        return sent + work <= stands * share * COLD_SAFETY
+                || sent == 0 && work <= stands * COLD_SHORT && lot < stands * share * COLD_LOTS / work;
     }
 
     // ---- Learning and health.
