First-rank batches pass their part only while their own kind is answered quickly

Cause: after nine of 43 engines were lost, 200 managers let every lookup pass, and lookups jammed each other (2.3 s).

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -146,6 +146,7 @@
     private final Tally taken;
     private final Tally further;
     private final Mean usual = new Mean(GROUP_SAMPLES);
+    private final Bins top = new Bins();
     private final Bins fleet = new Bins();
     private long arrivals;
     private long nextBeat;
@@ -470,7 +471,8 @@
             int threads = b.group.is.threads();
             // Many managers with one lone batch each would fill an engine: all bounds together still hold.
             boolean lone = e.flights.isEmpty() && (out == 0 || out + threads <= bounds)
-                    || small && first && allowed.priorities() && now > e.lineAt + LINE && !hasFirst(e);
+                    || small && first && allowed.priorities() && now > e.lineAt + LINE
+                    && top.quantile(0.5) < SLOW && !hasFirst(e);
             boolean fits = lone || e.reserved + grant <= e.slice * warm
                     && (e.threads + threads <= e.bound * warm || first && !hasFirst(e));
             boolean easy = warm >= 1 && !pressed(now, e) && e.reserved + grant <= e.memory
@@ -639,6 +641,9 @@
         if (!f.waited) {
             slowed(now, e, slowness);
         }
+        if (priority(b) == FIRST_RANK) {
+            top.add(slowness);
+        }
         if (slowness < CALM && slowness(e) < CALM) {
             // Both grow only while in use: an idle hour must not open the engine for a burst.
             if (e.threads + threads >= e.bound / 2) {
@@ -695,6 +700,7 @@
         boolean fade = now >= nextFade;
         if (fade) {
             fleet.halve();
+            top.halve();
             groups.forEach(g -> g.best *= BEST_DRIFT);
             quotas.forEach(q -> q.fill(FADE));
             nextFade = now + FADE;
