--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -49,7 +49,7 @@
     private static final long MOST_REST = 80_000; // ... this: a trial costs one batch
     private static final double COLD_SAFETY = 0.9; // of the cold budget: others and chance need the rest
     private static final double COLD_LOTS = 0.4; // of the budget a window: two may meet, and lots scatter
-    private static final double COLD_SHORT = 0.05; // of the budget: of such batches twenty may be wrong by one
+    private static final double COLD_SHORT = 0.05; // of the budget: of such batches one too many does no harm
     private static final double GOLDEN = 0.618034; // strews the managers' numbers evenly over the lots
     private static final double WARMING = 0.8; // of a straight line: how an engine warms is not told
     private static final double FULL = 0.85; // busy share of the cores at capacity, as the cold rule reckons
@@ -63,7 +63,6 @@
     private static final int LOOKS = 3; // engines asked before a batch goes: two choices, and one to spare
     private static final double LOOK_SHARE = 0.01; // of a batch's utility that one probe may cost
     private static final long LOOK_WAIT = 200; // for the answers: many times a way there and back
-    private static final long LINE = 20_000; // a line seen is taken to last: about a long batch's run
     private static final long LOOK_AGAIN = 5_000; // where all were full: reports are tenths of a second old
     private static final double CROWDING = 500; // of a full engine, in steps of rank: above any own room
     private static final long FRESH = 50_000; // what an engine told fades over this: about a long batch
@@ -96,9 +95,7 @@
         new Row(null, News.BROKE, Health.DOWN, Act.REST),
         new Row(null, News.QUIET, Health.SILENT, Act.REST),
         new Row(Health.SILENT, News.SIGN, Health.TRIAL, Act.NONE),
-        new Row(Health.SILENT, News.RESTED, Health.TRIAL, Act.NONE),
-        new Row(Health.FULL, News.RESTED, Health.TRIAL, Act.NONE),
-        new Row(Health.DOWN, News.RESTED, Health.TRIAL, Act.NONE),
+        new Row(null, News.RESTED, Health.TRIAL, Act.NONE),
     };
 
     /** What an outcome tells of the engine; a time-out, a call-off and what was not sent tell nothing. */
@@ -228,8 +225,7 @@
         if (how == Outcome.TURNED_AWAY) {
             press(now, e);
         } else if (how == Outcome.TIMED_OUT && usable(e)) {
-            // Where nothing comes back no answer could tell of the jam: a time-out counts as a slow answer,
-            // unless the engine is known as silent: its trouble is not the others' pressure.
+            // Where nothing comes back no answer tells of a jam; a silent engine is no sign of one.
             slowed(now, e, (now - f.sent) * b.group.is.threads() / b.expectedWork());
         }
         if (how == Outcome.RETURNED) {
@@ -276,7 +272,6 @@
                 // Memory that others wait for was granted too freely: margins give way before batches do.
                 b.group.margin = Math.max(LEAST_MARGIN, b.group.margin - (f.waited ? 0 : MARGIN_DOWN * 2));
                 f.waited = true;
-                e.lineAt = now;
                 press(now, e);
                 shrink(now, e, false);
             }
@@ -294,11 +289,8 @@
 
     @Override
     public void listed(long now, EngineList list) {
-        if (list.kind() == EngineList.Kind.FAILED) {
-            subscribe = true;
-            return;
-        }
-        if (list.kind() != EngineList.Kind.CHANGES) {
+        subscribe |= list.kind() == EngineList.Kind.FAILED;
+        if (list.kind() == EngineList.Kind.WHOLE || list.kind() == EngineList.Kind.REMEMBERED) {
             engines.forEach(e -> e.standing = Standing.LEFT);
         }
         stirred = true;
@@ -341,7 +333,6 @@
         e.toldAt = now;
         e.noLine = report.waiting() < 1;
         usual.add(e.crowd);
-        e.lineAt = report.waiting() >= 1 ? now : e.lineAt;
         double[] told = {report.waiting(), report.memoryShare(),
             report.active() / e.cores / THREADS_PER_CORE};
         e.crowd = Arrays.stream(told).filter(f -> f > 0).max().orElse(0); // not a number: not told
@@ -471,8 +462,7 @@
             int threads = b.group.is.threads();
             // Many managers with one lone batch each would fill an engine: all bounds together still hold.
             boolean lone = e.flights.isEmpty() && (out == 0 || out + threads <= bounds)
-                    || small && first && allowed.priorities() && now > e.lineAt + LINE
-                    && top.quantile(0.5) < SLOW && !hasFirst(e);
+                    || small && first && allowed.priorities() && top.quantile(0.5) < SLOW && !hasFirst(e);
             boolean fits = lone || e.reserved + grant <= e.slice * warm
                     && (e.threads + threads <= e.bound * warm || first && !hasFirst(e));
             boolean easy = warm >= 1 && !pressed(now, e) && e.reserved + grant <= e.memory
@@ -516,10 +506,7 @@
         }
     }
 
-    /**
-     * One batch of the first rank may run past the bound, as one of any rank may where nothing is out: in a
-     * burst, long batches would fill every bound and the many short ones would starve behind them.
-     */
+    /** One batch of the first rank may run past the bound: many short ones would starve behind long ones. */
     private boolean hasFirst(Engine e) {
         return e.flights.stream().anyMatch(f -> priority(f.batch) == FIRST_RANK);
     }
@@ -599,7 +586,7 @@
         double work = b.group.usualWork();
         double sent = e.cold.touching(now);
         double stands = rules.tipMultiple() * cold(now, e) * e.cores * FULL * rules.fall();
-        // Hundreds of parts are less than any batch each: then short batches draw lots, the same at every manager.
+        // Where each part is under any batch, short ones draw lots, which all managers know alike.
         double lot = (rank * GOLDEN + e.affinity((int) ((now - e.since) / rules.fall()))) % 1;
         return sent + work <= stands * share * COLD_SAFETY
                 || sent == 0 && work <= stands * COLD_SHORT && lot < stands * share * COLD_LOTS / work;
--- a/src/main/java/firstage/state/Engine.java
+++ b/src/main/java/firstage/state/Engine.java
@@ -34,9 +34,8 @@
     /** When it last told of its load, and how crowded it said it was: 1 is full. */
     public long toldAt = Long.MIN_VALUE / 2;
     public double crowd;
-    /** It told that no batch waits in its line for memory; and when one was last known to. */
+    /** It told that no batch waits in its line for memory. */
     public boolean noLine;
-    public long lineAt = Long.MIN_VALUE / 2;
     public long shrunk;
     /** Latency over the best of its group. */
     public final Bins slow = new Bins();
--- a/src/test/java/firstage/BrainStoriesTest.java
+++ b/src/test/java/firstage/BrainStoriesTest.java
@@ -126,6 +126,34 @@
         assertThat(sent).isBetween(1, 20);
     }
 
+    @Test
+    void hundredsOfManagersTogetherKeepAColdEnginesBudgetAndStillUseIt() {
+        int sent = 0;
+        for (int rank = 0; rank < 200; rank++) {
+            FakeHost one = new FakeHost();
+            one.managers = 200;
+            one.rank = rank;
+            one.start(2).take(0, LOOKUP).end(0, Outcome.RETURNED);
+            one.change(0, Standing.LEFT, 0).change(1, Standing.ACTIVE, one.now).take(1, LOOKUP).take(2, LOOKUP);
+            sent += one.sent(1) + one.sent(2);
+        }
+        // It stands 8.2 s of work in any 2 s, which is 41 lookups of 0.2 s.
+        assertThat(sent).isBetween(8, 30);
+    }
+
+    @Test
+    void lookupsThatAreSlowThemselvesNoLongerPassTheirPart() {
+        host.managers = 64;
+        host.start(8);
+        for (int b = 0; b < 16; b++) {
+            host.take(b, LOOKUP).slowly(b, 30_000);
+        }
+        for (int b = 100; b < 120; b++) {
+            host.take(b, LOOKUP);
+        }
+        assertThat(host.dispatches.keySet().stream().filter(b -> b >= 100)).hasSizeLessThan(5);
+    }
+
     // ---- Rule 5
     @Test
     void batchesOfOneKeyRunInTurnAndTheKeyRestsAfterABreak() {
--- a/src/test/java/firstage/FakeHost.java
+++ b/src/test/java/firstage/FakeHost.java
@@ -31,6 +31,7 @@
     long now = 100 * SECOND;
     // What a story may change before it starts.
     int managers = 1;
+    int rank;
     long seed = 7;
     double probePrice = -1;
     boolean estimate = true;
@@ -49,7 +50,7 @@
                 group(SECOND, 5 * SECOND, 1, 0, Effect.REPEATABLE, false, 1, lookupZones),
                 group(3 * SECOND, 20 * SECOND, 3, 0.3, Effect.REPEATABLE, false, 2, Set.of()),
                 group(3 * SECOND, 25 * SECOND, 8, 0.5, loadEffect, true, 2, Set.of()));
-        brain = new Brain(new Deployment(seed, managers, 0, 0, groups,
+        brain = new Brain(new Deployment(seed, managers, rank, 0, groups,
                 List.of(new Deployment.Machine(8, memoryMb)), rates, new Deployment.Allowed(callOff, secondCopies, true, true, true, 4, 2 * SECOND),
                 new Deployment.Rules(0.3, 10 * SECOND, 2, 2 * SECOND, SECOND / 2, furtherRatio, 1, 10 * SECOND),
                 0.5, notePace, false, false, probePrice), this);
