An engine that went down counts as cold until the list or an old dispatch says otherwise; less CPU

Cause: after a mass restart engines are back before the list tells it; all managers and all looks met on the empty, cold ones, and five of 19 fell over for good. Also catches crashes and lost halls; hurts where connections break with no restart and nothing older is out there.

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -229,6 +229,7 @@
             slowed(now, e, (now - f.sent) * b.group.is.threads() / b.expectedWork());
         }
         if (how == Outcome.RETURNED) {
+            e.spoke(now, f);
             learn(now, f, ending);
         }
         report(now, e, ending.report());
@@ -253,7 +254,7 @@
             return;
         }
         Engine e = f.engine;
-        e.heard = now;
+        e.spoke(now, f);
         f.heard = now;
         health(now, e, News.SIGN);
         f.standsStill = note.kind() == Note.Kind.WAITS_FOR_LOAD;
@@ -300,15 +301,15 @@
                 health(now, e, News.RESTARTED);
             }
             if (e.cores == 0 || e.kind != entry.kind()) {
-                e.kind = entry.kind();
-                measure(e);
+                measure(e, entry.kind());
             }
         }
     }
 
     /** Slice and bound at their start: this manager's part of the engine. Untold sizes count as one core. */
-    private void measure(Engine e) {
-        Deployment.Machine m = e.kind >= 0 && e.kind < machines.size() ? machines.get(e.kind) : null;
+    private void measure(Engine e, int kind) {
+        Deployment.Machine m = kind >= 0 && kind < machines.size() ? machines.get(kind) : null;
+        e.kind = kind;
         e.cores = m == null || m.cores() <= 0 ? 1 : m.cores();
         e.memory = m == null || m.memoryMb() <= 0 ? Double.MAX_VALUE / 4 : m.memoryMb();
         e.slice = e.memory * POOL_SHARE * share;
@@ -317,6 +318,9 @@
 
     @Override
     public void probed(long now, int index, Outcome outcome, Report report) {
+        if (outcome == Outcome.NO_CONNECTION) {
+            health(now, engine(index), News.UNREACHED);
+        }
         report(now, engine(index), report);
         stirred = true;
     }
@@ -403,10 +407,10 @@
 
     private void send(long now, Batch b, Engine e) {
         held.remove(b.order);
-        Flight f = new Flight(b, e, b.dispatches++, now, grant(b, e));
+        Flight f = new Flight(b, e, b.dispatches++, now, grant(b, e), priority(b));
         further.add(now, f.number > 0 ? 1 : 0);
         if (allowed.grants() || allowed.priorities()) {
-            host.provide(b.is.batch(), allowed.grants() ? (int) Math.ceil(f.grant) : 0, priority(b));
+            host.provide(b.is.batch(), allowed.grants() ? (int) Math.ceil(f.grant) : 0, f.priority);
         }
         host.dispatch(b.is.batch(), e.index, 0);
         b.out.add(f);
@@ -496,19 +500,16 @@
     }
 
     private void look(long now, Batch b) {
-        b.looked = new ArrayList<>();
         b.lookedAt = now;
         List<Engine> from = new ArrayList<>(engines.stream().filter(e -> open(now, b, e)).toList());
-        while (b.looked.size() < LOOKS && !from.isEmpty()) {
-            Engine e = from.remove(chance.nextInt(from.size()));
-            b.looked.add(e);
-            host.probe(e.index);
-        }
+        b.looked = chance.ints(Math.min(LOOKS, from.size()), 0, Integer.MAX_VALUE)
+                .mapToObj(i -> from.remove(i % from.size())).toList();
+        b.looked.forEach(e -> host.probe(e.index));
     }
 
     /** One batch of the first rank may run past the bound: many short ones would starve behind long ones. */
     private boolean hasFirst(Engine e) {
-        return e.flights.stream().anyMatch(f -> priority(f.batch) == FIRST_RANK);
+        return e.flights.stream().anyMatch(f -> f.priority == FIRST_RANK);
     }
 
     /**
@@ -521,17 +522,16 @@
         double affinity = e.affinity(b.is.tables());
         if (loadOrder != null) {
             int others = Math.min(managers, (int) Math.ceil(loadOrder.length * READERS_FROM));
-            int place = Arrays.binarySearch(loadOrder, affinity);
-            return ((place - rank) % others == 0 ? OWN_PLACE : 0);
+            return (Arrays.binarySearch(loadOrder, affinity) - rank) % others == 0 ? OWN_PLACE : 0;
         }
         return part >= b.group.is.threads() ? affinity : chance.nextDouble();
     }
 
     /** The active engines' affinities to a load's tables, coldest first; null for other batches. */
     private double[] loadOrder(Batch b) {
-        return !b.group.is.load() || b.is.tables() < 0 ? null : engines.stream()
-                .filter(e -> e.standing == Standing.ACTIVE)
-                .mapToDouble(e -> e.affinity(b.is.tables())).sorted().toArray();
+        return !b.group.is.load() || b.is.tables() < 0 ? null
+                : engines.stream().filter(e -> e.standing == Standing.ACTIVE)
+                        .mapToDouble(e -> e.affinity(b.is.tables())).sorted().toArray();
     }
 
     private static boolean usable(Engine e) {
@@ -570,8 +570,9 @@
 
     /** The share of its capacity an engine is sure to have: from the rule's start figure to 1 when warm. */
     private double cold(long now, Engine e) {
-        long age = now - e.since;
-        if (e.since <= 0 || age >= rules.warmAfter() || rules.coldFrom() <= 0) {
+        // News of a start comes late: engines that were down, seen by many at once, would be pushed over.
+        long age = now - e.start();
+        if (e.start() <= 0 || age >= rules.warmAfter() || rules.coldFrom() <= 0) {
             return 1;
         }
         double straight = Math.max(0, (double) age / rules.warmAfter());
@@ -587,7 +588,7 @@
         double sent = e.cold.touching(now);
         double stands = rules.tipMultiple() * cold(now, e) * e.cores * FULL * rules.fall();
         // Where each part is under any batch, short ones draw lots, which all managers know alike.
-        double lot = (rank * GOLDEN + e.affinity((int) ((now - e.since) / rules.fall()))) % 1;
+        double lot = (rank * GOLDEN + e.affinity((int) ((now - e.start()) / rules.fall()))) % 1;
         return sent + work <= stands * share * COLD_SAFETY
                 || sent == 0 && work <= stands * COLD_SHORT && lot < stands * share * COLD_LOTS / work;
     }
@@ -628,7 +629,7 @@
         if (!f.waited) {
             slowed(now, e, slowness);
         }
-        if (priority(b) == FIRST_RANK) {
+        if (f.priority == FIRST_RANK) {
             top.add(slowness);
         }
         if (slowness < CALM && slowness(e) < CALM) {
@@ -671,6 +672,7 @@
         for (Row row : HEALTH) {
             if ((row.state == null || row.state == e.health) && row.news == news && row.next != e.health) {
                 e.health = row.next;
+                e.downAt = row.next == Health.DOWN ? now : e.downAt;
                 if (row.act == Act.REST) {
                     e.restUntil = now + e.rest;
                     e.rest = Math.min(MOST_REST, e.rest * 2);
--- a/src/main/java/firstage/state/Bins.java
+++ b/src/main/java/firstage/state/Bins.java
@@ -5,11 +5,15 @@
     private static final int COUNT = 17;
     private final double[] weight = new double[COUNT];
     private double total;
+    /** The quantile last asked for, until the next change. */
+    private double asked = -1;
+    private double answer;
 
     public void add(double ratio) {
         double octaves = Math.log(Math.max(ratio, 1e-9)) / Math.log(2);
         weight[(int) Math.max(0, Math.min(COUNT - 1, Math.floor(octaves * 2 + COUNT / 2.0)))]++;
         total++;
+        asked = -1;
     }
 
     public void halve() {
@@ -17,6 +21,7 @@
             weight[i] /= 2;
         }
         total /= 2;
+        asked = -1;
     }
 
     /** The weight of all samples; one that was halved counts half. */
@@ -26,6 +31,14 @@
 
     /** The ratio below which this share of the samples lies, straight within a bin; 1 without samples. */
     public double quantile(double share) {
+        if (share != asked) {
+            answer = find(share);
+            asked = share;
+        }
+        return answer;
+    }
+
+    private double find(double share) {
         double left = share * total;
         for (int i = 0; i < COUNT && total > 0; i++) {
             if (weight[i] > 0 && left <= weight[i]) {
--- a/src/main/java/firstage/state/Engine.java
+++ b/src/main/java/firstage/state/Engine.java
@@ -28,6 +28,8 @@
     public long rest;
     public long restUntil;
     public long heard;
+    /** When it last seemed to have gone down, and may have started anew; 0 if it did not. */
+    public long downAt;
     /** Errors since it last returned a batch. */
     public int errors;
     public long pressedUntil;
@@ -64,6 +66,17 @@
         return restarted;
     }
 
+    /** One of its dispatches was spoken of; what was out before it seemed to go down proves that it did not. */
+    public void spoke(long now, Flight f) {
+        heard = now;
+        downAt = f.sent < downAt ? 0 : downAt;
+    }
+
+    /** Its latest start, told or feared; 0 for long ago. */
+    public long start() {
+        return Math.max(since, downAt);
+    }
+
     /** Reserves what the dispatch needs. */
     public void take(Flight f) {
         reserved += f.grant;
--- a/src/main/java/firstage/state/Flight.java
+++ b/src/main/java/firstage/state/Flight.java
@@ -7,6 +7,7 @@
     public final int number;
     public final long sent;
     public final double grant;
+    public final int priority;
     /** When it was sent or last spoken of. */
     public long heard;
     /** Share done, by its latest note. */
@@ -19,12 +20,13 @@
     /** Nothing more is expected of it: it was called off, or a copy was asked for. */
     public boolean givenUp;
 
-    public Flight(Batch batch, Engine engine, int number, long sent, double grant) {
+    public Flight(Batch batch, Engine engine, int number, long sent, double grant, int priority) {
         this.batch = batch;
         this.engine = engine;
         this.number = number;
         this.sent = sent;
         this.heard = sent;
         this.grant = grant;
+        this.priority = priority;
     }
 }
--- a/src/test/java/firstage/BrainStoriesTest.java
+++ b/src/test/java/firstage/BrainStoriesTest.java
@@ -126,6 +126,34 @@
         assertThat(sent).isBetween(1, 20);
     }
 
+    @Test
+    void anEngineThatWentDownCountsAsColdBeforeTheListSaysSo() {
+        host.managers = 2;
+        host.start(1).take(1, LOOKUP).end(1, Outcome.NO_CONNECTION).pass(2 * SECOND);
+        host.end(1, Outcome.RETURNED);
+        int sent = 0;
+        for (int b = 2; b < 42; b++) {
+            host.take(b, LOOKUP);
+            if (host.sent(b) > 0) {
+                host.end(b, Outcome.RETURNED);
+                sent++;
+            }
+        }
+        assertThat(sent).isBetween(1, 24);
+    }
+
+    @Test
+    void aBrokenConnectionOfALivingEngineDoesNotMakeItCold() {
+        host.managers = 2;
+        host.start(1).take(0, REPORT).pass(SECOND / 2).take(1, LOOKUP).end(1, Outcome.BROKEN);
+        host.note(0, Note.Kind.DONE, 0.1);
+        host.end(0, Outcome.RETURNED);
+        for (int b = 2; b < 42; b++) {
+            host.take(b, LOOKUP).end(b, Outcome.RETURNED);
+        }
+        assertThat(host.dispatches).hasSize(42);
+    }
+
     @Test
     void hundredsOfManagersTogetherKeepAColdEnginesBudgetAndStillUseIt() {
         int sent = 0;
