Held batches are looked at every 50 ms without news, a looking batch at its looked-at engines only

Cause: in overload the beats of 260 managers with ten held batches on 79 engines took most of the CPU.

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -55,7 +55,8 @@
     private static final double FULL = 0.85; // busy share of the cores at capacity, as the cold rule reckons
     private static final double RUNAWAY = 5; // times a fresh run still ahead: estimates scatter by half of it
     private static final long BEAT = 100; // between looks at our own timers: a hundredth of a note's patience
-    private static final long LAST_CALL = 300; // before its limit a held batch is answered: over two beats
+    private static final long RELEASE = 500; // between looks at the held without news
+    private static final long LAST_CALL = 800; // before its limit a held batch is answered
     private static final double ROOM_STEPS = 4; // of a slice that count as alike: there nearness decides
     private static final double OVER_SHARE_ROOM = 0.2; // of the queue for customers beyond their share
     private static final int FIRST_RANK = 3; // the priority of what pays best for its work
@@ -69,7 +70,6 @@
     private static final double OWN_PLACE = 30; // in steps of rank: above any free room, below fitting
     private static final long COME_BACK = 5_000; // a client should stay away: half a queue clears in it
     private static final long FADE = 10_000; // between halvings of slowness: old samples are gone in seconds
-    private static final double SECOND = 10_000; // in our unit of time
     private static final long CUSTOMER_SPAN = 50_000; // of its share may be used at once: bursts are no abuse
     private static final double ENOUGH = 12; // samples before an engine's own median counts, not the fleet's
     private static final int GROUP_SAMPLES = 64; // after which a group's measurements are halved
@@ -147,6 +147,7 @@
     private final Bins fleet = new Bins();
     private long arrivals;
     private long nextBeat;
+    private long nextRelease;
     private long nextFade;
     private boolean crowded;
     private boolean subscribe;
@@ -171,8 +172,7 @@
         part = cores * THREADS_PER_CORE * share;
         notePace = deployment.notePace();
         subscribe = deployment.asksForList();
-        quotas = deployment.customerRates().stream()
-                .map(r -> new Quota(r * share / SECOND, CUSTOMER_SPAN)).toList();
+        quotas = deployment.customerRates().stream().map(r -> new Quota(r * share, CUSTOMER_SPAN)).toList();
         for (ServiceGroup is : deployment.groups()) {
             groups.add(new Group(is, FIRST_MARGIN, FIRST_BEST, GROUP_SAMPLES));
         }
@@ -255,7 +255,6 @@
         }
         Engine e = f.engine;
         e.spoke(now, f);
-        f.heard = now;
         health(now, e, News.SIGN);
         f.standsStill = note.kind() == Note.Kind.WAITS_FOR_LOAD;
         f.inLine = note.kind() == Note.Kind.WAITS_FOR_MEMORY;
@@ -359,8 +358,8 @@
         if (nextBeat == 0) {
             watch(now);
         }
-        // Each held batch looks at each engine: only where something came in, or a beat is over.
-        if (stirred || nextBeat == 0) {
+        // Each held batch looks at each engine: only where something came in, and now and then.
+        if (stirred || now >= nextRelease) {
             release(now);
         }
         if (nextBeat == 0 && (!batches.isEmpty() || !turns.isEmpty())) {
@@ -371,6 +370,7 @@
     }
 
     private void release(long now) {
+        nextRelease = now + RELEASE;
         crowded = false;
         for (Batch b : held.isEmpty() ? List.<Batch>of() : new ArrayList<>(held.values())) {
             boolean mayGo = now < b.is.notAfter() - LAST_CALL && myTurn(now, b);
@@ -457,7 +457,7 @@
         }
         Engine best = null;
         double most = Double.NEGATIVE_INFINITY;
-        for (Engine e : engines) {
+        for (Engine e : looks ? b.looked : engines) {
             if (!open(now, b, e)) {
                 continue;
             }
@@ -471,7 +471,7 @@
                     && (e.threads + threads <= e.bound * warm || first && !hasFirst(e));
             boolean easy = warm >= 1 && !pressed(now, e) && e.reserved + grant <= e.memory
                     && e.threads + threads <= e.cores * THREADS_PER_CORE;
-            boolean told = looks && b.looked.contains(e) && e.toldAt >= b.lookedAt && e.crowd < 1;
+            boolean told = looks && e.toldAt >= b.lookedAt && e.crowd < 1;
             if (looks && !told || !fits && !easy && !(told && e.noLine && e.flights.isEmpty())) {
                 continue;
             }
--- a/src/main/java/firstage/benchlink/Setup.java
+++ b/src/main/java/firstage/benchlink/Setup.java
@@ -39,7 +39,7 @@
         }
         List<Double> rates = new ArrayList<>();
         for (int c = 0; c < f.index("tenants.count", 0); c++) {
-            rates.add(f.number("tenants." + c + ".quota_per_s", 0));
+            rates.add(f.number("tenants." + c + ".quota_per_s", 0) / Fields.tenths(1));
         }
         Deployment.Allowed allowed = new Deployment.Allowed(f.flag("limits.may_cancel"),
                 f.flag("limits.second_copies"), f.flag("limits.retry_after"),
--- a/src/main/java/firstage/door/Deployment.java
+++ b/src/main/java/firstage/door/Deployment.java
@@ -4,6 +4,7 @@
 
 /**
  * What a workload manager is told of its deployment at start; absent figures are 0, lists empty.
+ * Customers' rates count batches in a tenth of a millisecond.
  * {@code probePrice} is in shares of a mean batch's utility, below 0 where engines may not be probed.
  */
 public record Deployment(long seed, int managers, int rank, int zone, List<ServiceGroup> groups,
--- a/src/main/java/firstage/state/Engine.java
+++ b/src/main/java/firstage/state/Engine.java
@@ -69,6 +69,7 @@
     /** One of its dispatches was spoken of; what was out before it seemed to go down proves that it did not. */
     public void spoke(long now, Flight f) {
         heard = now;
+        f.heard = now;
         downAt = f.sent < downAt ? 0 : downAt;
     }
 
