--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -496,7 +496,7 @@
     /** Whether this batch looks at some engines before it goes. */
     private boolean looks(Batch b) {
         return probePrice >= 0 && b.group.is.utility() * LOOK_SHARE >= probePrice * worth.or(1)
-                && part < b.group.is.threads();
+                && part < b.group.is.threads() && fleet.quantile(0.5) >= CALM;
     }
 
     private void look(long now, Batch b) {
