--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -67,6 +67,8 @@
     private static final long LOOK_AGAIN = 5_000; // where all were full: reports are tenths of a second old
     private static final double CROWDING = 500; // of a full engine, in steps of rank: above any own room
     private static final long FRESH = 50_000; // what an engine told fades over this: about a long batch
+    private static final double READERS = 4; // engines that the readers of a table keep to: enough for a hot one
+    private static final double WARMTH = 125; // of those, in steps of rank: a quarter of a full engine
     private static final double OWN_PLACE = 30; // in steps of rank: above any free room, below fitting
     private static final long COME_BACK = 5_000; // a client should stay away: half a queue clears in it
     private static final long FADE = 10_000; // between halvings of slowness: old samples are gone in seconds
@@ -524,7 +526,8 @@
             int others = Math.min(managers, (int) Math.ceil(loadOrder.length * READERS_FROM));
             return (Arrays.binarySearch(loadOrder, affinity) - rank) % others == 0 ? OWN_PLACE : 0;
         }
-        return part >= b.group.is.threads() ? affinity : chance.nextDouble();
+        return part >= b.group.is.threads() ? affinity
+                : chance.nextDouble() + (affinity > 1 - READERS / engines.size() ? WARMTH : 0);
     }
 
     /** The active engines' affinities to a load's tables, coldest first; null for other batches. */
