--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -61,7 +61,7 @@
     private static final double OVER_SHARE_ROOM = 0.2; // of the queue for customers beyond their share
     private static final int FIRST_RANK = 3; // the priority of what pays best for its work
     private static final double READERS_FROM = 0.67; // of the engines in a table's order: a third reads it
-    private static final int LOOKS = 3; // engines asked before a batch goes: two choices, and one to spare
+    private static final int LOOKS = 2; // engines asked before a batch goes: the power of two choices
     private static final double LOOK_SHARE = 0.01; // of a batch's utility that one probe may cost
     private static final long LOOK_WAIT = 200; // for the answers: many times a way there and back
     private static final long LOOK_AGAIN = 5_000; // where all were full: reports are tenths of a second old
