A bound shrinks from what is in use, where our part is under one thread

Cause: bounds grown in calm times on forty engines take twenty seconds to come down by a fifth a second, so a jam went on.

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -20,9 +20,8 @@
  * All decisions of one workload manager. Callers tell it news through {@link WorkloadManager} and end each
  * moment with {@link #turn}; it acts through {@link Host}. Interface and types stand in firstage.door; times
  * are whole tenths of a millisecond. Reading order: constants, tables, news, release, choice, health, rules.
- *
- * <p>Ordinary path (docs/design.md): each batch reserves its grant on this manager's slice of one engine's
- * memory, and its threads under an adaptive bound, or waits in a bounded FIFO queue until there is room.
+ * On the ordinary path (docs/design.md) each batch reserves its grant on our slice of one engine's memory and
+ * its threads under an adaptive bound, or waits in a bounded FIFO queue until there is room.
  */
 public final class Brain implements WorkloadManager {
     // ---- Constants: unit, and why this size. Times are in tenths of a millisecond.
@@ -655,7 +654,8 @@
         if (due && !slow) {
             e.slice = Math.max(e.memory * POOL_SHARE * share / 2, e.slice * SHRINK);
         } else if (due) {
-            e.bound = Math.max(e.cores * LEAST_PER_CORE * share, e.bound * SHRINK);
+            double used = part < 1 ? Math.min(e.bound, e.threads) : e.bound;
+            e.bound = Math.max(e.cores * LEAST_PER_CORE * share, used * SHRINK);
         }
     }
 
--- a/src/test/java/firstage/BrainStoriesTest.java
+++ b/src/test/java/firstage/BrainStoriesTest.java
@@ -169,6 +169,27 @@
         assertThat(sent).isBetween(8, 30);
     }
 
+    @Test
+    void boundsThatGrewInCalmTimesAndAreNotUsedDoNotOutlastTheFirstSecondsOfAJam() {
+        host.managers = 64;
+        host.start(8);
+        for (int b = 0; b < 96; b++) {
+            host.take(b, REPORT);
+            for (int done = b - 7; b % 8 == 7 && done <= b; done++) {
+                host.slowly(done, 9_000);
+            }
+            host.pass(SECOND / 8);
+        }
+        for (int b = 100; b < 120; b++) {
+            host.take(b, LOOKUP).slowly(b, 60_000);
+        }
+        host.pass(2 * SECOND);
+        for (int b = 200; b < 220; b++) {
+            host.take(b, REPORT);
+        }
+        assertThat(host.dispatches.keySet().stream().filter(b -> b >= 200).count()).isLessThan(3);
+    }
+
     @Test
     void lookupsThatAreSlowThemselvesNoLongerPassTheirPart() {
         host.managers = 64;
