--- a/src/main/java/firstage/benchlink/BenchLink.java
+++ b/src/main/java/firstage/benchlink/BenchLink.java
@@ -1,5 +1,7 @@
 package firstage.benchlink;
 
+import firstage.setup.Fields;
+import firstage.setup.MalformedLine;
 import java.io.BufferedReader;
 import java.io.BufferedWriter;
 import java.io.IOException;
--- /dev/null
+++ b/src/main/java/firstage/net/Assignment.java
@@ -0,0 +1,84 @@
+package firstage.net;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import firstage.door.Deployment;
+import firstage.setup.Fields;
+import firstage.setup.MalformedLine;
+import firstage.setup.Setup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What the platform tells a workload manager at its start: who it is, where it listens, its limits, where the
+ * coordinator is, the engines known so far, and the deployment's settings.
+ */
+public record Assignment(String name, InetSocketAddress listen, InetSocketAddress coordinator, int descriptors,
+                         Map<?, ?> known, Fields settings, Deployment deployment) {
+
+    /** Reads it; the message of the exception names the fault. */
+    public static Assignment read(Path file) throws IOException {
+        try (JsonParser in = new JsonFactory().createParser(file.toFile())) {
+            in.nextToken();
+            if (!(value(in) instanceof Map<?, ?> all) || !(all.get("settings") instanceof Map<?, ?> settings)) {
+                throw new MalformedLine("no settings");
+            }
+            Fields top = new Fields(all);
+            Map<Object, Object> told = new LinkedHashMap<>(settings);
+            told.put("init_seed", seed(top.text("seed", "0")));
+            Fields fields = new Fields(told);
+            return new Assignment(top.text("name", "manager"), address(top.need("listen")),
+                    top.has("coordinator") ? address(top.need("coordinator")) : null,
+                    top.index("limits.sockets", 0),
+                    all.get("known") instanceof Map<?, ?> known ? known : Map.of(), fields, Setup.read(fields));
+        }
+    }
+
+    private static long seed(String hex) {
+        try {
+            return Long.parseUnsignedLong(hex, 16);
+        } catch (NumberFormatException fault) {
+            return hex.hashCode();
+        }
+    }
+
+    /** Host and port, as numbers: there are no names to look up. */
+    public static InetSocketAddress address(String hostPort) {
+        int colon = hostPort.lastIndexOf(':');
+        try {
+            String host = hostPort.substring(0, colon);
+            if (!host.matches("[0-9.]+|[0-9a-fA-F:\\[\\]]+")) {
+                throw new MalformedLine("no address: " + hostPort);
+            }
+            return new InetSocketAddress(host, Integer.parseInt(hostPort.substring(colon + 1)));
+        } catch (IndexOutOfBoundsException | IllegalArgumentException fault) {
+            throw new MalformedLine("no address: " + hostPort);
+        }
+    }
+
+    private static Object value(JsonParser in) throws IOException {
+        if (in.currentToken() == JsonToken.START_OBJECT) {
+            Map<String, Object> map = new LinkedHashMap<>();
+            while (in.nextToken() == JsonToken.FIELD_NAME) {
+                String name = in.currentName();
+                in.nextToken();
+                map.put(name, value(in));
+            }
+            return map;
+        }
+        if (in.currentToken() == JsonToken.START_ARRAY) {
+            List<Object> list = new ArrayList<>();
+            while (in.nextToken() != JsonToken.END_ARRAY && in.currentToken() != null) {
+                list.add(value(in));
+            }
+            return list;
+        }
+        return in.currentToken() == JsonToken.VALUE_NULL || in.currentToken() == null ? null : in.getText();
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/net/Clock.java
@@ -0,0 +1,20 @@
+package firstage.net;
+
+/**
+ * The Unix clock in whole tenths of a millisecond as it stood at the start, carried on by the monotonic clock:
+ * a step of the system's time neither stalls a decision nor makes all of them due at once.
+ */
+public final class Clock {
+    private static final long NANOS = 100_000;
+    private final long start = System.currentTimeMillis() * 10;
+    private final long mark = System.nanoTime();
+
+    public long now() {
+        return start + (System.nanoTime() - mark) / NANOS;
+    }
+
+    /** A moment that others told in Unix milliseconds, on this clock; 0 stays 0: long ago. */
+    public long of(long unixMs) {
+        return unixMs == 0 ? 0 : now() - (System.currentTimeMillis() - unixMs) * 10;
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/net/Counters.java
@@ -0,0 +1,35 @@
+package firstage.net;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Counts by name, printed at the end; what must hold is asserted under -ea and else counted here. */
+public final class Counters {
+    private final Map<String, Long> counts = new TreeMap<>();
+
+    public void count(String name) {
+        add(name, 1);
+    }
+
+    public void add(String name, long amount) {
+        counts.merge(name, amount, Long::sum);
+    }
+
+    /** Keeps the largest value seen. */
+    public void peak(String name, long value) {
+        counts.merge(name, value, Math::max);
+    }
+
+    /** What must hold. */
+    public void hold(boolean holds, String what) {
+        assert holds : what;
+        if (!holds) {
+            count("broken: " + what);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return counts.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/net/Exchange.java
@@ -0,0 +1,90 @@
+package firstage.net;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One batch between its client and the engines: all that the two sides know of each other. What goes on
+ * unchanged is kept as the bytes that came.
+ */
+public final class Exchange {
+    /** The client's side: exactly one of the three is called, once. */
+    public interface Reply {
+        void returned(List<byte[]> pages);
+
+        void pushedBack(long comeBack);
+
+        void errored();
+    }
+
+    /** The engines' side: a dispatch that is out. */
+    public interface Dispatch {
+        int number();
+
+        int engine();
+
+        void priority(int priority);
+
+        /** Ends it with this outcome, once the engine was told or can't be. */
+        void giveUp(firstage.door.Outcome how);
+    }
+
+    public final String id;
+    public final String group;
+    public final byte[] statement;
+    /** When the client's time is up, on the clock of the decisions. */
+    public final long notAfter;
+    public final List<Dispatch> out = new ArrayList<>();
+    /** Its index, and that of its key, as the decisions know them. */
+    public int batch = -1;
+    public int dispatches;
+    public int grantMb;
+    public int priority = 1;
+    private final Reply reply;
+    private boolean over;
+
+    public Exchange(String id, String group, byte[] statement, long notAfter, Reply reply) {
+        this.id = id;
+        this.group = group;
+        this.statement = statement;
+        this.notAfter = notAfter;
+        this.reply = reply;
+    }
+
+    /** Whether the client has its answer or is owed none. */
+    public boolean over() {
+        return over;
+    }
+
+    /** The client left. */
+    public void left() {
+        over = true;
+    }
+
+    public boolean returned(List<byte[]> pages) {
+        boolean first = !over;
+        over = true;
+        if (first) {
+            reply.returned(pages);
+        }
+        return first;
+    }
+
+    public boolean pushedBack(long comeBack) {
+        boolean first = !over;
+        over = true;
+        if (first) {
+            reply.pushedBack(comeBack);
+        }
+        return first;
+    }
+
+    public boolean errored() {
+        boolean first = !over;
+        over = true;
+        if (first) {
+            reply.errored();
+        }
+        return first;
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/net/Node.java
@@ -0,0 +1,308 @@
+package firstage.net;
+
+import firstage.Brain;
+import firstage.door.Arrival;
+import firstage.door.Ending;
+import firstage.door.EngineList;
+import firstage.door.Host;
+import firstage.door.Note;
+import firstage.door.Outcome;
+import firstage.door.Report;
+import firstage.door.WorkloadManager;
+import firstage.net.clients.ClientDoor;
+import firstage.net.engines.Engines;
+import firstage.net.list.Follower;
+import firstage.setup.Indices;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/**
+ * One workload manager: its peers and one Brain, all on one I/O thread. It carries what the peers tell to the
+ * decisions and what these decide to the peers; it decides nothing itself.
+ */
+public final class Node implements Host, Tidings {
+    private static final Logger LOG = Logger.getLogger(Node.class.getName());
+    /** After a SIGTERM the front goes on sending for at most 0.6 s. */
+    private static final long STILL_SENT_MS = 700;
+    private static final long SWEEP_MS = 1_000;
+    private final Assignment assignment;
+    private final Clock clock = new Clock();
+    private final Counters counters = new Counters();
+    private final XnioWorker worker;
+    private final XnioIoThread io;
+    private final WorkloadManager manager;
+    private final Engines engines;
+    private final ClientDoor door;
+    private final Follower follower;
+    private final Indices<Exchange> batches = new Indices<>();
+    private final Indices<String> keys = new Indices<>();
+    private final Indices<Long> ids = new Indices<>();
+    private int open;
+    private boolean turnDue;
+    private boolean closing;
+    private boolean stillSent;
+
+    public Node(Assignment assignment) throws IOException {
+        this.assignment = assignment;
+        worker = Xnio.getInstance(Node.class.getClassLoader()).createWorker(OptionMap.builder()
+                .set(Options.WORKER_NAME, "firstage").set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1).getMap());
+        io = worker.getIoThread();
+        engines = new Engines(io, clock, counters, this, assignment);
+        door = new ClientDoor(io, clock, counters, this, assignment);
+        follower = new Follower(io, clock, counters, this, assignment);
+        manager = new Brain(assignment.deployment(), this);
+    }
+
+    /** Starts serving; returns once clients can connect. */
+    public void start() throws IOException {
+        io.execute(() -> {
+            follower.start();
+            sweep();
+        });
+        door.listen(worker);
+        LOG.info(() -> assignment.name() + " listens on " + assignment.listen());
+    }
+
+    /** Serves on while the front still sends, answers all that was taken, then ends the program. */
+    public void close() {
+        io.execute(() -> {
+            closing = true;
+            stillSent = true;
+            LOG.info(() -> "closing with " + open + " batches open");
+            later(STILL_SENT_MS, () -> {
+                stillSent = false;
+                door.close();
+                endIfIdle();
+            });
+        });
+    }
+
+    private void endIfIdle() {
+        if (closing && !stillSent && open == 0 && door.idle()) {
+            closing = false;
+            counters.hold(batches.inUse() == 0, "no batch is left at the end");
+            follower.close();
+            engines.close();
+            System.err.println("end: " + counters);
+            // Not on this thread: the exit waits for hooks, and sockets still flush here.
+            new Thread(() -> System.exit(0), "exit").start();
+        }
+    }
+
+    private void sweep() {
+        engines.sweep();
+        endIfIdle();
+        later(SWEEP_MS, this::sweep);
+    }
+
+    private XnioExecutor.Key later(long ms, Runnable task) {
+        return io.executeAfter(task, ms, TimeUnit.MILLISECONDS);
+    }
+
+    // ---- What the peers tell.
+    /** One turn after all news that is at hand. */
+    private void stir() {
+        if (!turnDue) {
+            turnDue = true;
+            long due = System.nanoTime();
+            io.execute(() -> {
+                turnDue = false;
+                counters.peak("latest turn, us", (System.nanoTime() - due) / 1_000);
+                try {
+                    manager.turn(clock.now());
+                } catch (RuntimeException fault) {
+                    failed("turn", fault);
+                }
+                endIfIdle();
+            });
+        }
+    }
+
+    private void tell(String what, Runnable call) {
+        try {
+            call.run();
+        } catch (RuntimeException fault) {
+            failed(what, fault);
+        }
+        stir();
+    }
+
+    /** The program outlives a fault of its own; the log shows it. */
+    private void failed(String what, RuntimeException fault) {
+        counters.count("faults");
+        LOG.log(Level.SEVERE, "fault in " + what, fault);
+    }
+
+    @Override
+    public void taken(Exchange x, int group, int customer, String key, long estimate, int memoryMb, int tables) {
+        counters.count("batches taken");
+        open++;
+        x.batch = batches.of(x);
+        long now = clock.now();
+        later(Math.max(0, (x.notAfter - now) / 10), () -> timeUp(x));
+        tell("taken", () -> manager.taken(now, new Arrival(x.batch, group, customer,
+                key == null ? -1 : keys.of(key), x.notAfter, estimate, memoryMb, tables, false)));
+    }
+
+    private void timeUp(Exchange x) {
+        for (Exchange.Dispatch d : List.copyOf(x.out)) {
+            d.giveUp(Outcome.TIMED_OUT);
+        }
+    }
+
+    @Override
+    public void left(Exchange x) {
+        if (x.over()) {
+            return;
+        }
+        x.left();
+        over("batches left by their clients");
+        tell("left", () -> manager.clientLeft(clock.now(), x.batch));
+        callOffAll(x);
+    }
+
+    private void over(String how) {
+        counters.count(how);
+        open--;
+    }
+
+    private void callOffAll(Exchange x) {
+        for (Exchange.Dispatch d : List.copyOf(x.out)) {
+            d.giveUp(Outcome.CALLED_OFF);
+        }
+    }
+
+    @Override
+    public void noted(Exchange x, Exchange.Dispatch d, Note.Kind kind, double amount) {
+        tell("noted", () -> manager.noted(clock.now(), new Note(x.batch, d.number(), d.engine(), kind, amount)));
+    }
+
+    @Override
+    public void ended(Exchange x, Exchange.Dispatch d, Outcome how, long took, Report report, List<byte[]> pages) {
+        counters.hold(x.out.remove(d), "a dispatch ends once");
+        counters.count("dispatches " + how);
+        if (how == Outcome.RETURNED && x.returned(pages)) {
+            over("batches returned");
+        }
+        tell("ended", () -> manager.ended(clock.now(),
+                new Ending(x.batch, d.number(), d.engine(), how, took, 0, 0, x.over(), report)));
+        if (how == Outcome.RETURNED) {
+            callOffAll(x);
+        }
+    }
+
+    @Override
+    public void probed(int engine, Outcome how, Report report) {
+        tell("probed", () -> manager.probed(clock.now(), engine, how, report));
+    }
+
+    @Override
+    public void listed(EngineList.Kind kind, List<Listed> entries) {
+        List<EngineList.Entry> told = new ArrayList<>();
+        for (Listed e : entries) {
+            int index = ids.of(e.id());
+            engines.listed(index, e);
+            told.add(new EngineList.Entry(index, e.id(), e.zone(), e.kind(), e.cell(), e.standing(), e.weight(),
+                    e.since()));
+        }
+        if (kind == EngineList.Kind.WHOLE) {
+            engines.keepOnly(told.stream().map(EngineList.Entry::engine).toList());
+        }
+        tell("listed", () -> manager.listed(clock.now(), new EngineList(kind, told)));
+    }
+
+    // ---- What is decided.
+    @Override
+    public void provide(int batch, int grantMb, int priority) {
+        Exchange x = batches.id(batch);
+        x.grantMb = grantMb;
+        x.priority = priority;
+        x.out.forEach(d -> d.priority(priority));
+    }
+
+    @Override
+    public void dispatch(int batch, int engine, long within) {
+        Exchange x = batches.id(batch);
+        counters.count("dispatches out");
+        Exchange.Dispatch d = engines.dispatch(x, x.dispatches++, engine);
+        x.out.add(d);
+        if (within > 0) {
+            later(within / 10, () -> {
+                if (x.out.contains(d)) {
+                    d.giveUp(Outcome.TIMED_OUT);
+                }
+            });
+        }
+    }
+
+    @Override
+    public void callOff(int batch, int dispatch) {
+        for (Exchange.Dispatch d : List.copyOf(batches.id(batch).out)) {
+            if (d.number() == dispatch) {
+                d.giveUp(Outcome.CALLED_OFF);
+            }
+        }
+    }
+
+    @Override
+    public void pushBack(int batch, long comeBack) {
+        if (batches.id(batch).pushedBack(comeBack)) {
+            over("batches pushed back");
+        }
+    }
+
+    @Override
+    public void error(int batch) {
+        if (batches.id(batch).errored()) {
+            over("batches errored");
+        }
+    }
+
+    @Override
+    public void forgetBatch(int batch) {
+        counters.hold(batches.id(batch).over(), "a batch that is forgotten has its answer");
+        batches.release(batch);
+    }
+
+    @Override
+    public void forgetKey(int key) {
+        keys.release(key);
+    }
+
+    @Override
+    public void probe(int engine) {
+        engines.probe(engine);
+    }
+
+    /** This deployment's managers have no way to talk to each other. */
+    @Override
+    public void tellPeers(byte[] words) {
+        counters.count("messages to peers, not sent");
+    }
+
+    /** The coordinator tells all changes unasked. */
+    @Override
+    public void subscribe() {
+    }
+
+    @Override
+    public void wakeIn(long delay, long token) {
+        later(Math.max(1, delay / 10), () -> tell("woken", () -> manager.woken(clock.now(), token)));
+    }
+
+    @Override
+    public void log(String line) {
+        LOG.info(line);
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/net/Tidings.java
@@ -0,0 +1,30 @@
+package firstage.net;
+
+import firstage.door.EngineList;
+import firstage.door.Note;
+import firstage.door.Outcome;
+import firstage.door.Report;
+import java.util.List;
+
+/** What the peers' packages tell the node. All calls come on the I/O thread. */
+public interface Tidings {
+    /** A batch was taken whole; {@code key} is null without one. */
+    void taken(Exchange x, int group, int customer, String key, long estimate, int memoryMb, int tables);
+
+    /** The client left, or gave up. */
+    void left(Exchange x);
+
+    void noted(Exchange x, Exchange.Dispatch d, Note.Kind kind, double amount);
+
+    /** A dispatch is over; {@code pages} only where it returned. */
+    void ended(Exchange x, Exchange.Dispatch d, Outcome how, long took, Report report, List<byte[]> pages);
+
+    void probed(int engine, Outcome how, Report report);
+
+    void listed(EngineList.Kind kind, List<Listed> engines);
+
+    /** An engine as the coordinator lists it: its id as a number and where it listens. */
+    record Listed(long id, java.net.InetSocketAddress address, int zone, int kind, int cell,
+                  EngineList.Standing standing, double weight, long since) {
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/net/clients/ClientDoor.java
@@ -0,0 +1,188 @@
+package firstage.net.clients;
+
+import firstage.net.Assignment;
+import firstage.net.Clock;
+import firstage.net.Counters;
+import firstage.net.Exchange;
+import firstage.net.Tidings;
+import firstage.setup.Fields;
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+
+/** Where clients come in: reads their calls, answers what can't be used, hands on the rest. */
+public final class ClientDoor {
+    private static final int MOST_STATEMENT = 64 * 1024;
+    private static final int MOST_HEAD = 16 * 1024;
+    private static final int BACKLOG = 512;
+    private static final HttpString JOB = new HttpString("X-Job-Id");
+    private static final HttpString ALLOW = new HttpString("X-Allow-Ms");
+    private static final HttpString TEAM = new HttpString("X-Team");
+    private static final HttpString SIZE = new HttpString("X-Size-Ms");
+    private static final HttpString MEMORY = new HttpString("X-Memory");
+    private static final HttpString ITEM = new HttpString("X-Item");
+    final XnioIoThread io;
+    final Counters counters;
+    final Tidings tidings;
+    private final Clock clock;
+    private final InetSocketAddress address;
+    private final List<String> groups = new ArrayList<>();
+    private final List<String> customers = new ArrayList<>();
+    private AcceptingChannel<StreamConnection> server;
+    private HttpOpenListener http;
+    private int pending;
+    private boolean closing;
+
+    public ClientDoor(XnioIoThread io, Clock clock, Counters counters, Tidings tidings, Assignment assignment) {
+        this.io = io;
+        this.clock = clock;
+        this.counters = counters;
+        this.tidings = tidings;
+        this.address = assignment.listen();
+        Fields settings = assignment.settings();
+        for (int i = 0; i < settings.index("classes.count", 0); i++) {
+            groups.add(settings.text("classes." + i + ".name", ""));
+        }
+        for (int i = 0; i < settings.index("tenants.count", 0); i++) {
+            customers.add(settings.text("tenants." + i + ".name", ""));
+        }
+    }
+
+    public void listen(XnioWorker worker) throws IOException {
+        ByteBufferPool buffers = new DefaultByteBufferPool(true, 16 * 1024, 256, 0);
+        http = new HttpOpenListener(buffers, OptionMap.builder()
+                .set(UndertowOptions.MAX_ENTITY_SIZE, (long) MOST_STATEMENT)
+                .set(UndertowOptions.MAX_HEADER_SIZE, MOST_HEAD)
+                .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+                .set(UndertowOptions.ALWAYS_SET_DATE, false).getMap());
+        http.setRootHandler(this::call);
+        server = worker.createStreamConnectionServer(address, ChannelListeners.openListenerAdapter(http),
+                OptionMap.builder().set(Options.REUSE_ADDRESSES, true).set(Options.BACKLOG, BACKLOG)
+                        .set(Options.TCP_NODELAY, true).getMap());
+        server.resumeAccepts();
+    }
+
+    /** No new connections; what is open is answered still. */
+    public void close() {
+        closing = true;
+        IoUtils.safeClose(server);
+    }
+
+    public boolean idle() {
+        return pending == 0;
+    }
+
+    void answered() {
+        pending--;
+    }
+
+    boolean closing() {
+        return closing;
+    }
+
+    private void call(HttpServerExchange x) {
+        String path = x.getRequestPath();
+        if (path.equals("/alive")) {
+            if (x.getRequestMethod().equals(Methods.GET)) {
+                x.setStatusCode(200);
+                x.endExchange();
+            } else {
+                refuse(x, 405, "GET only");
+            }
+            return;
+        }
+        String group = path.substring(path.lastIndexOf('/') + 1);
+        if (group.isEmpty() || path.indexOf('/', 1) < 0) {
+            refuse(x, 404, "no such path");
+        } else if (!x.getRequestMethod().equals(Methods.POST)) {
+            refuse(x, 405, "POST only");
+        } else if (x.getRequestContentLength() > MOST_STATEMENT) {
+            refuse(x, 413, "statement too long");
+        } else {
+            x.getRequestReceiver().receiveFullBytes(
+                    (whole, bytes) -> whole.dispatch(SameThreadExecutor.INSTANCE, () -> take(whole, group, bytes)),
+                    (broken, fault) -> {
+                        counters.count("calls not whole");
+                        if (fault instanceof io.undertow.server.RequestTooBigException) {
+                            refuse(broken, 413, "statement too long");
+                        } else {
+                            IoUtils.safeClose(broken.getConnection());
+                            broken.endExchange();
+                        }
+                    });
+        }
+    }
+
+    /** An answer to what can't be used; it never reached an engine. */
+    void refuse(HttpServerExchange x, int status, String why) {
+        counters.count("calls answered " + status);
+        x.setStatusCode(status);
+        send(x, ByteBuffer.wrap(("{\"err\":\"" + why + "\"}\n").getBytes(StandardCharsets.US_ASCII)));
+    }
+
+    static void send(HttpServerExchange x, ByteBuffer body) {
+        x.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        x.getResponseHeaders().put(Headers.CONTENT_LENGTH, body.remaining());
+        x.getResponseSender().send(body);
+    }
+
+    private void take(HttpServerExchange x, String group, byte[] statement) {
+        long now = clock.now();
+        String id = x.getRequestHeaders().getFirst(JOB);
+        double allow = number(x, ALLOW, -1);
+        double estimate = number(x, SIZE, 0);
+        double memory = number(x, MEMORY, 0);
+        String team = x.getRequestHeaders().getFirst(TEAM);
+        int customer = team == null ? customers.isEmpty() ? 0 : -1 : customers.indexOf(team);
+        if (groups.indexOf(group) < 0) {
+            refuse(x, 400, "unknown class");
+        } else if (id == null || !id.matches("[0-9a-f]{16}")) {
+            refuse(x, 400, "X-Job-Id is missing or not usable");
+        } else if (!(allow > 0 && allow < 1e9)) {
+            refuse(x, 400, "X-Allow-Ms is missing or not usable");
+        } else if (!(estimate >= 0 && estimate < 1e12)) {
+            refuse(x, 400, "X-Size-Ms is not usable");
+        } else if (!(memory >= 0 && memory < 1e9)) {
+            refuse(x, 400, "X-Memory is not usable");
+        } else if (customer < 0) {
+            refuse(x, 400, "X-Team is missing or unknown");
+        } else {
+            pending++;
+            PendingCall call = new PendingCall(this, x);
+            Exchange batch = new Exchange(id, group, statement, now + (long) (allow * 10), call);
+            call.watch(batch);
+            tidings.taken(batch, groups.indexOf(group), customer, x.getRequestHeaders().getFirst(ITEM),
+                    (long) (estimate * 10), (int) memory, Statement.group(statement));
+        }
+    }
+
+    /** A figure in a header; NaN where it can't be read. */
+    private static double number(HttpServerExchange x, HttpString header, double absent) {
+        String text = x.getRequestHeaders().getFirst(header);
+        try {
+            return text == null ? absent : Double.parseDouble(text.trim());
+        } catch (NumberFormatException fault) {
+            return Double.NaN;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/net/engines/Connection.java
@@ -0,0 +1,144 @@
+package firstage.net.engines;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.conduits.ConduitStreamSinkChannel;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+
+/** A connection to an engine: one call at a time. */
+final class Connection {
+    private final Link link;
+    private final XnioIoThread io;
+    private final ByteBuffer shared;
+    private final StreamConnection channel;
+    private Call call;
+    private ResponseReader reader;
+    private ByteBuffer unsent;
+    private XnioExecutor.Key patience;
+    private boolean closed;
+    /** When its last call ended. */
+    long idleSince;
+    boolean used;
+
+    /** {@code shared} is one buffer of the thread, empty between events. */
+    Connection(Link link, XnioIoThread io, ByteBuffer shared, StreamConnection channel) {
+        this.link = link;
+        this.io = io;
+        this.shared = shared;
+        this.channel = channel;
+        channel.getSourceChannel().setReadListener(this::readable);
+        channel.getSinkChannel().setWriteListener(this::writable);
+        channel.getSourceChannel().resumeReads();
+    }
+
+    void send(Call next, String host) {
+        call = next;
+        reader = new ResponseReader();
+        unsent = next.bytes(host);
+        patience = io.executeAfter(() -> fail(Call.Failure.SILENT), next.patienceMs, TimeUnit.MILLISECONDS);
+        writable(channel.getSinkChannel());
+    }
+
+    private void writable(ConduitStreamSinkChannel sink) {
+        if (unsent == null) {
+            sink.suspendWrites();
+            return;
+        }
+        try {
+            while (unsent.hasRemaining()) {
+                if (sink.write(unsent) == 0) {
+                    sink.resumeWrites();
+                    return;
+                }
+            }
+            if (sink.flush()) {
+                unsent = null;
+                sink.suspendWrites();
+            } else {
+                sink.resumeWrites();
+            }
+        } catch (IOException fault) {
+            // Its answer may be there all the same; reading tells.
+            unsent = null;
+            sink.suspendWrites();
+            io.execute(() -> readable(channel.getSourceChannel()));
+        }
+    }
+
+    private void readable(ConduitStreamSourceChannel source) {
+        try {
+            while (!closed) {
+                shared.clear();
+                int n = source.read(shared);
+                if (n == 0) {
+                    return;
+                }
+                if (n < 0) {
+                    if (call != null && reader.end()) {
+                        done(true);
+                    } else {
+                        fail(Call.Failure.BROKEN);
+                    }
+                    return;
+                }
+                shared.flip();
+                if (call == null) {
+                    // Bytes that nobody asked for: nothing on this connection can be trusted.
+                    fail(Call.Failure.MALFORMED);
+                } else if (reader.take(shared)) {
+                    done(shared.hasRemaining());
+                }
+            }
+        } catch (IOException fault) {
+            fail(reader != null && channel.isOpen() && !isReset(fault)
+                    ? Call.Failure.MALFORMED : Call.Failure.BROKEN);
+        }
+    }
+
+    private static boolean isReset(IOException fault) {
+        String text = String.valueOf(fault.getMessage());
+        return text.contains("reset") || text.contains("Broken pipe") || text.contains("closed");
+    }
+
+    private void done(boolean unusable) {
+        Call over = call;
+        Response response = reader.response();
+        forget();
+        if (unusable || unsent != null || response.closes()) {
+            close();
+            link.gone(this);
+        } else {
+            link.idle(this);
+        }
+        over.answered(response);
+    }
+
+    private void fail(Call.Failure failure) {
+        Call over = call;
+        forget();
+        close();
+        link.gone(this);
+        if (over != null) {
+            over.failed(failure);
+        }
+    }
+
+    private void forget() {
+        if (patience != null) {
+            patience.remove();
+        }
+        patience = null;
+        call = null;
+        reader = null;
+    }
+
+    void close() {
+        closed = true;
+        IoUtils.safeClose(channel);
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/net/engines/Engines.java
@@ -0,0 +1,143 @@
+package firstage.net.engines;
+
+import firstage.door.EngineList.Standing;
+import firstage.door.Outcome;
+import firstage.door.Report;
+import firstage.net.Assignment;
+import firstage.net.Clock;
+import firstage.net.Counters;
+import firstage.net.Exchange;
+import firstage.net.Tidings;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.xnio.XnioIoThread;
+
+/** All engines that were listed, by their index. */
+public final class Engines {
+    /** Descriptors for what is no connection to an engine or a client: files, selectors, the coordinator. */
+    private static final int RESERVE = 64;
+    private static final int READ_BUFFER = 16 * 1024;
+    private static final long DEFAULT_KEEPALIVE = 10_000;
+    final XnioIoThread io;
+    final Clock clock;
+    final Counters counters;
+    final Tidings tidings;
+    final ByteBuffer shared = ByteBuffer.allocateDirect(READ_BUFFER);
+    final long connectMs;
+    final long probeMs;
+    final long mostIdle;
+    private final int cap;
+    private int slots;
+    private final List<Link> links = new ArrayList<>();
+
+    public Engines(XnioIoThread io, Clock clock, Counters counters, Tidings tidings, Assignment assignment) {
+        this.io = io;
+        this.clock = clock;
+        this.counters = counters;
+        this.tidings = tidings;
+        connectMs = Math.max(1, assignment.settings().time("limits.connect_timeout") / 10);
+        probeMs = connectMs;
+        long keepalive = assignment.settings().time("limits.keepalive");
+        mostIdle = (keepalive > 0 ? keepalive : DEFAULT_KEEPALIVE) / 2;
+        // A third is the clients'.
+        cap = assignment.descriptors() > 0 ? Math.max(1, assignment.descriptors() * 2 / 3 - RESERVE)
+                : Integer.MAX_VALUE;
+    }
+
+    boolean takeSlot() {
+        if (slots >= cap) {
+            counters.count("connections not had");
+            return false;
+        }
+        slots++;
+        counters.peak("most connections to engines", slots);
+        return true;
+    }
+
+    void freeSlot() {
+        slots--;
+        counters.hold(slots >= 0, "a connection is freed once");
+    }
+
+    public void listed(int index, Tidings.Listed e) {
+        while (links.size() <= index) {
+            links.add(null);
+        }
+        Link link = links.get(index);
+        if (e.standing() == Standing.LEFT && link != null) {
+            link.close();
+        } else if (link == null || link.closed() || !link.address.equals(e.address())) {
+            if (link != null) {
+                link.close();
+            }
+            links.set(index, new Link(this, clock, e.address()));
+        }
+    }
+
+    /** The whole list was told: the others are gone. */
+    public void keepOnly(List<Integer> indices) {
+        for (int i = 0; i < links.size(); i++) {
+            if (links.get(i) != null && !indices.contains(i)) {
+                links.get(i).close();
+            }
+        }
+    }
+
+    public Exchange.Dispatch dispatch(Exchange x, int number, int engine) {
+        return new Run(this, links.get(engine), x, number, engine);
+    }
+
+    public void probe(int engine) {
+        counters.count("probes");
+        links.get(engine).call(new Call("GET /busy", null, probeMs) {
+            @Override
+            void answered(Response r) {
+                tidings.probed(engine, r.status() == 200 ? Outcome.RETURNED : Outcome.ERRORED, report(r));
+            }
+
+            @Override
+            void failed(Failure f) {
+                boolean unreached = f == Failure.REFUSED || f == Failure.UNREACHED;
+                tidings.probed(engine, unreached ? Outcome.NO_CONNECTION : Outcome.TIMED_OUT, null);
+            }
+        }, false);
+    }
+
+    /** The load report of an answer, or null without one. */
+    static Report report(Response r) {
+        String meter = r.headers().get("x-meter");
+        if (meter == null) {
+            return null;
+        }
+        double[] told = {Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN};
+        for (String pair : meter.split(";")) {
+            String[] parts = pair.split(":", 2);
+            int at = switch (parts[0].trim()) {
+                case "active", "inflight" -> 0;
+                case "waiting", "queue" -> 1;
+                case "cpu", "util" -> 2;
+                case "x0" -> 3;
+                case "x1" -> 4;
+                default -> -1;
+            };
+            try {
+                if (at >= 0 && parts.length == 2) {
+                    told[at] = Double.parseDouble(parts[1].trim());
+                }
+            } catch (NumberFormatException fault) {
+                return null;
+            }
+        }
+        return new Report(told[0], told[1], told[2], told[3], told[4]);
+    }
+
+    public void sweep() {
+        links.stream().filter(l -> l != null).forEach(Link::sweep);
+    }
+
+    public void close() {
+        links.stream().filter(l -> l != null).forEach(Link::close);
+        counters.hold(slots == 0, "no connection to an engine is left at the end");
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/net/engines/Link.java
@@ -0,0 +1,120 @@
+package firstage.net.engines;
+
+import firstage.net.Clock;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.xnio.IoFuture;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+
+/** The connections to one engine. They belong to its id: another may get its address when it is gone. */
+final class Link {
+    private final Engines engines;
+    private final Clock clock;
+    final InetSocketAddress address;
+    private final String host;
+    /** The one that was used last is used next: the others age and are closed. */
+    private final ArrayDeque<Connection> idle = new ArrayDeque<>();
+    private final Set<Connection> all = new HashSet<>();
+    private boolean closed;
+
+    Link(Engines engines, Clock clock, InetSocketAddress address) {
+        this.engines = engines;
+        this.clock = clock;
+        this.address = address;
+        this.host = address.getHostString() + ":" + address.getPort();
+    }
+
+    /** Makes the call on an idle connection, else on a new one; {@code fresh} asks for a new one. */
+    void call(Call call, boolean fresh) {
+        sweep();
+        Connection ready = fresh ? null : idle.pollLast();
+        if (ready != null) {
+            ready.used = true;
+            ready.send(call, host);
+        } else if (engines.takeSlot()) {
+            connect(call);
+        } else {
+            engines.io.execute(() -> call.failed(Call.Failure.NO_ROOM));
+        }
+    }
+
+    private void connect(Call call) {
+        IoFuture<? extends StreamConnection> coming = engines.io.openStreamConnection(address, null,
+                OptionMap.create(Options.TCP_NODELAY, true));
+        XnioExecutor.Key late = engines.io.executeAfter(coming::cancel, engines.connectMs, TimeUnit.MILLISECONDS);
+        // Told on this thread, after what is at hand: a refusal may be known before this call returns.
+        coming.addNotifier((future, none) -> engines.io.execute(() -> {
+            late.remove();
+            if (future.getStatus() == IoFuture.Status.DONE) {
+                up(call, future);
+            } else {
+                engines.freeSlot();
+                boolean refused = future.getStatus() == IoFuture.Status.FAILED
+                        && future.getException() instanceof ConnectException;
+                call.failed(refused ? Call.Failure.REFUSED : Call.Failure.UNREACHED);
+            }
+        }), null);
+    }
+
+    private void up(Call call, IoFuture<? extends StreamConnection> future) {
+        try {
+            Connection c = new Connection(this, engines.io, engines.shared, future.get());
+            all.add(c);
+            if (call.wanted()) {
+                c.send(call, host);
+            } else {
+                idle(c);
+            }
+        } catch (IOException fault) {
+            engines.freeSlot();
+            call.failed(Call.Failure.UNREACHED);
+        }
+    }
+
+    void idle(Connection c) {
+        if (closed) {
+            c.close();
+            gone(c);
+        } else {
+            c.idleSince = clock.now();
+            idle.addLast(c);
+        }
+    }
+
+    void gone(Connection c) {
+        if (all.remove(c)) {
+            idle.remove(c);
+            engines.freeSlot();
+        }
+    }
+
+    /** Closes what was idle so long that the engine might close it under a call. */
+    void sweep() {
+        while (!idle.isEmpty() && clock.now() - idle.peekFirst().idleSince > engines.mostIdle) {
+            Connection c = idle.peekFirst();
+            c.close();
+            gone(c);
+        }
+    }
+
+    boolean closed() {
+        return closed;
+    }
+
+    /** Its idle connections are closed now, the others when their call ends. */
+    void close() {
+        closed = true;
+        for (Connection c : Set.copyOf(idle)) {
+            c.close();
+            gone(c);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/net/engines/ResponseReader.java
@@ -0,0 +1,132 @@
+package firstage.net.engines;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Reads one HTTP/1.1 response from bytes that come in any pieces. */
+final class ResponseReader {
+    /** Well over the 6,000 bytes that a page may hold. */
+    private static final int MOST_BODY = 64 * 1024;
+    private static final int MOST_HEAD = 16 * 1024;
+
+    private enum Part { STATUS, HEADERS, BODY, TO_END, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, DONE }
+
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream(64);
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream(256);
+    private final Map<String, String> headers = new HashMap<>();
+    private Part part = Part.STATUS;
+    private int status;
+    private int left;
+    private int head;
+
+    /** Takes what is there; true once the response is whole. What follows it stays in the buffer. */
+    boolean take(ByteBuffer in) throws IOException {
+        while (part != Part.DONE && in.hasRemaining()) {
+            if (part == Part.BODY || part == Part.CHUNK || part == Part.TO_END) {
+                copy(in);
+            } else {
+                byte b = in.get();
+                if (++head > MOST_HEAD) {
+                    throw new IOException("head too long");
+                }
+                if (b == '\n') {
+                    String text = line.toString(java.nio.charset.StandardCharsets.ISO_8859_1).stripTrailing();
+                    line.reset();
+                    line(text);
+                } else {
+                    line.write(b);
+                }
+            }
+        }
+        return part == Part.DONE;
+    }
+
+    /** The connection ended; true if that makes the response whole. */
+    boolean end() {
+        if (part == Part.TO_END) {
+            part = Part.DONE;
+        }
+        return part == Part.DONE;
+    }
+
+    Response response() {
+        return new Response(status, headers, body.toByteArray());
+    }
+
+    private void copy(ByteBuffer in) throws IOException {
+        int n = part == Part.TO_END ? in.remaining() : Math.min(left, in.remaining());
+        if (body.size() + n > MOST_BODY) {
+            throw new IOException("body too long");
+        }
+        byte[] piece = new byte[n];
+        in.get(piece);
+        body.write(piece, 0, n);
+        left -= n;
+        if (part != Part.TO_END && left == 0) {
+            part = part == Part.BODY ? Part.DONE : Part.CHUNK_END;
+        }
+    }
+
+    private void line(String text) throws IOException {
+        switch (part) {
+            case STATUS -> {
+                String[] words = text.split(" ", 3);
+                if (!text.startsWith("HTTP/1.") || words.length < 2) {
+                    throw new IOException("no status line");
+                }
+                status = number(words[1], 10);
+                part = Part.HEADERS;
+            }
+            case HEADERS -> {
+                int colon = text.indexOf(':');
+                if (colon > 0) {
+                    headers.put(text.substring(0, colon).trim().toLowerCase(java.util.Locale.ROOT),
+                            text.substring(colon + 1).trim());
+                } else if (text.isEmpty()) {
+                    headDone();
+                } else {
+                    throw new IOException("no header");
+                }
+            }
+            case CHUNK_SIZE -> {
+                int semicolon = text.indexOf(';');
+                left = number(semicolon < 0 ? text : text.substring(0, semicolon), 16);
+                part = left == 0 ? Part.TRAILERS : Part.CHUNK;
+            }
+            case CHUNK_END -> part = Part.CHUNK_SIZE;
+            case TRAILERS -> part = text.isEmpty() ? Part.DONE : Part.TRAILERS;
+            default -> throw new IllegalStateException("no line in " + part);
+        }
+    }
+
+    private void headDone() throws IOException {
+        if (status >= 100 && status < 200) {
+            headers.clear();
+            part = Part.STATUS;
+        } else if (status == 204 || status == 304) {
+            part = Part.DONE;
+        } else if (headers.getOrDefault("transfer-encoding", "").toLowerCase(java.util.Locale.ROOT).endsWith("chunked")) {
+            part = Part.CHUNK_SIZE;
+        } else if (headers.containsKey("content-length")) {
+            left = number(headers.get("content-length"), 10);
+            part = left == 0 ? Part.DONE : Part.BODY;
+        } else {
+            part = Part.TO_END;
+        }
+    }
+
+    private static int number(String text, int radix) throws IOException {
+        try {
+            int number = Integer.parseInt(text.trim(), radix);
+            if (number >= 0) {
+                return number;
+            }
+        } catch (NumberFormatException fault) {
+            // Told below.
+        }
+        throw new IOException("no number: " + text);
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/net/engines/Run.java
@@ -0,0 +1,246 @@
+package firstage.net.engines;
+
+import firstage.door.Note;
+import firstage.door.Outcome;
+import firstage.net.Exchange;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A dispatch at its engine: started, asked for without pause (an engine drops what nobody asks for in 2 s), its
+ * pages fetched, ended once. A query belongs to no connection: where one fails, another is asked.
+ */
+final class Run implements Exchange.Dispatch {
+    /** Engines answer within 250 ms; twice that without a word, and another connection is tried. */
+    private static final long NEWS_MS = 600;
+    /** Between askings that fail at once. */
+    private static final long PAUSE_MS = 50;
+    /** The client's answer may wait so long for an engine to hear that a query is given up. */
+    private static final long GIVE_UP_MS = 20;
+    private final Engines engines;
+    private final Link link;
+    private final Exchange x;
+    private final int number;
+    private final int engine;
+    private final long sent;
+    private final List<byte[]> pages = new ArrayList<>();
+    private int pageCount;
+    private long took;
+    private boolean started;
+    private boolean givenUp;
+    private boolean over;
+    private int priority;
+    private firstage.door.Report report;
+
+    Run(Engines engines, Link link, Exchange x, int number, int engine) {
+        this.engines = engines;
+        this.link = link;
+        this.x = x;
+        this.number = number;
+        this.engine = engine;
+        this.sent = engines.clock.now();
+        this.priority = x.priority;
+        // Not within the decision that sends it: its outcome is news of a later moment.
+        engines.io.execute(this::start);
+    }
+
+    @Override
+    public int number() {
+        return number;
+    }
+
+    @Override
+    public int engine() {
+        return engine;
+    }
+
+    private void start() {
+        if (givenUp) {
+            return;
+        }
+        link.call(new Call("POST /x", x.statement, NEWS_MS) {
+            @Override
+            boolean wanted() {
+                return !givenUp;
+            }
+
+            @Override
+            String head() {
+                started = true;
+                long left = Math.max(1, (x.notAfter - engines.clock.now()) / 10);
+                return "X-Ticket: " + x.id + "\r\nX-Queue: " + x.group + "\r\nX-Max-Ms: " + left + "\r\n"
+                        + (x.grantMb > 0 ? "Grant-Mb: " + x.grantMb + "\r\n" : "")
+                        + "Rank: " + priority + "\r\n";
+            }
+
+            @Override
+            void answered(Response r) {
+                news(r);
+            }
+
+            @Override
+            void failed(Failure f) {
+                switch (f) {
+                    case REFUSED, UNREACHED -> end(Outcome.NO_CONNECTION);
+                    case NO_ROOM -> end(Outcome.NOT_SENT);
+                    case MALFORMED -> end(Outcome.ERRORED);
+                    default -> ask(true);
+                }
+            }
+        }, false);
+    }
+
+    private void ask(boolean fresh) {
+        if (over || givenUp) {
+            return;
+        }
+        link.call(new Call("GET /x/" + x.id + "/0", null, NEWS_MS) {
+            @Override
+            void answered(Response r) {
+                news(r);
+            }
+
+            @Override
+            void failed(Failure f) {
+                again(f, () -> ask(true));
+            }
+        }, fresh);
+    }
+
+    /** A refused connection: its process has ended, and what ran there with it. Else it is asked again. */
+    private void again(Call.Failure f, Runnable asking) {
+        if (f == Call.Failure.REFUSED) {
+            end(Outcome.BROKEN);
+        } else if (f == Call.Failure.MALFORMED) {
+            end(Outcome.ERRORED);
+        } else {
+            engines.io.executeAfter(asking, PAUSE_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void news(Response r) {
+        if (over || givenUp) {
+            return;
+        }
+        report = Engines.report(r) == null ? report : Engines.report(r);
+        switch (r.status()) {
+            case 202 -> {
+                note(r);
+                ask(false);
+            }
+            case 200 -> {
+                took = engines.clock.now() - sent;
+                pageCount = r.whole("page-count", 1);
+                page(r);
+            }
+            case 503, 504 -> end(r.neverRan() ? Outcome.TURNED_AWAY : Outcome.ERRORED);
+            default -> end(Outcome.ERRORED);
+        }
+    }
+
+    private void note(Response r) {
+        double figure = r.number("figure", 0);
+        Note.Kind kind = switch (r.headers().getOrDefault("x-remark", "")) {
+            case "pct" -> Note.Kind.DONE;
+            case "overflow" -> Note.Kind.SPILLS;
+            case "queued" -> figure == 1 ? Note.Kind.WAITS_FOR_MEMORY : Note.Kind.WAITS_FOR_LOAD;
+            default -> null;
+        };
+        if (kind != null) {
+            engines.tidings.noted(x, this, kind, figure);
+        }
+    }
+
+    private void page(Response r) {
+        pages.add(r.body());
+        if (pages.size() >= pageCount) {
+            end(Outcome.RETURNED);
+        } else {
+            fetch(false);
+        }
+    }
+
+    private void fetch(boolean fresh) {
+        if (over || givenUp) {
+            return;
+        }
+        int wanted = pages.size();
+        link.call(new Call("GET /x/" + x.id + "/" + wanted, null, NEWS_MS) {
+            @Override
+            void answered(Response r) {
+                if (over || givenUp) {
+                    return;
+                }
+                if (r.status() == 200 && r.whole("page-no", -1) == wanted) {
+                    page(r);
+                } else {
+                    end(Outcome.ERRORED);
+                }
+            }
+
+            @Override
+            void failed(Failure f) {
+                again(f, () -> fetch(true));
+            }
+        }, fresh);
+    }
+
+    @Override
+    public void priority(int next) {
+        if (next == priority || over || givenUp) {
+            return;
+        }
+        priority = next;
+        if (started) {
+            link.call(new Ignored("PUT /x/" + x.id, String.valueOf(next).getBytes(StandardCharsets.US_ASCII)), false);
+        }
+    }
+
+    /** Ends once the engine has heard of it, or can't hear in time: until then the query counts as out. */
+    @Override
+    public void giveUp(Outcome how) {
+        if (over || givenUp) {
+            return;
+        }
+        givenUp = true;
+        if (!started) {
+            // It is not written any more; told after what is at hand, as it may be a decision that gives it up.
+            engines.io.execute(() -> end(Outcome.NOT_SENT));
+            return;
+        }
+        engines.io.executeAfter(() -> end(how), GIVE_UP_MS, TimeUnit.MILLISECONDS);
+        link.call(new Ignored("DELETE /x/" + x.id, null) {
+            @Override
+            void answered(Response r) {
+                end(how);
+            }
+        }, false);
+    }
+
+    private void end(Outcome how) {
+        if (!over) {
+            over = true;
+            assert how != Outcome.NOT_SENT || !started : "what was written was sent";
+            engines.tidings.ended(x, this, how, took > 0 ? took : engines.clock.now() - sent, report, pages);
+        }
+    }
+
+    /** A call whose answer changes nothing. */
+    private static class Ignored extends Call {
+        Ignored(String what, byte[] body) {
+            super(what, body, NEWS_MS);
+        }
+
+        @Override
+        void answered(Response r) {
+            // Nothing depends on it.
+        }
+
+        @Override
+        void failed(Failure f) {
+            // Nothing depends on it.
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/net/list/Follower.java
@@ -0,0 +1,174 @@
+package firstage.net.list;
+
+import firstage.door.EngineList.Kind;
+import firstage.net.Assignment;
+import firstage.net.Clock;
+import firstage.net.Counters;
+import firstage.net.Tidings;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Logger;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+
+/** Keeps a connection to the coordinator and tells what it hears; a connection that is mute is given up. */
+public final class Follower {
+    private static final Logger LOG = Logger.getLogger(Follower.class.getName());
+    /** An empty frame follows each second: three missing, and the connection is dead. */
+    private static final long MUTE_MS = 3_000;
+    private static final long CONNECT_MS = 1_000;
+    private static final long AGAIN_MS = 200;
+    private final XnioIoThread io;
+    private final Counters counters;
+    private final Tidings tidings;
+    private final Records records;
+    private final InetSocketAddress coordinator;
+    private final Map<?, ?> known;
+    private final ByteBuffer buffer = ByteBuffer.allocate(16 * 1024);
+    private long last;
+    private StreamConnection channel;
+    private Frames frames;
+    private XnioExecutor.Key mute;
+    private boolean closed;
+
+    public Follower(XnioIoThread io, Clock clock, Counters counters, Tidings tidings, Assignment assignment) {
+        this.io = io;
+        this.counters = counters;
+        this.tidings = tidings;
+        records = new Records(clock, assignment.settings());
+        coordinator = assignment.coordinator();
+        known = assignment.known();
+    }
+
+    /** Tells what is known from the start, then follows. */
+    public void start() {
+        try {
+            if (known.get("updates") instanceof List<?> updates) {
+                for (Object update : updates) {
+                    known((Map<?, ?>) update);
+                }
+            }
+            last = Math.max(last, Long.parseLong(String.valueOf(known.containsKey("index") ? known.get("index") : 0)));
+        } catch (RuntimeException fault) {
+            counters.count("malformed lists");
+            LOG.warning("the list known at the start can't be read: " + fault.getMessage());
+        }
+        connect();
+    }
+
+    private void known(Map<?, ?> update) {
+        Map<?, ?> endpoints = (Map<?, ?>) update.get("endpoints");
+        boolean whole = "true".equals(String.valueOf(endpoints.get("reset")));
+        tidings.listed(whole ? Kind.WHOLE : Kind.CHANGES, records.read((List<?>) endpoints.get("instances")));
+        last = Long.parseLong(String.valueOf(update.get("index")));
+    }
+
+    private void connect() {
+        if (closed || coordinator == null) {
+            return;
+        }
+        IoFuture<? extends StreamConnection> coming = io.openStreamConnection(coordinator, null, OptionMap.EMPTY);
+        XnioExecutor.Key late = io.executeAfter(coming::cancel, CONNECT_MS, TimeUnit.MILLISECONDS);
+        coming.addNotifier((future, none) -> io.execute(() -> {
+            late.remove();
+            if (future.getStatus() == IoFuture.Status.DONE) {
+                up(future);
+            } else {
+                again();
+            }
+        }), null);
+    }
+
+    private void again() {
+        io.executeAfter(this::connect, AGAIN_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void up(IoFuture<? extends StreamConnection> future) {
+        try {
+            channel = future.get();
+            frames = new Frames();
+            ByteBuffer hello = ByteBuffer.allocate(Long.BYTES).putLong(0, last);
+            while (hello.hasRemaining()) {
+                // Eight bytes on a new connection always fit.
+                channel.getSinkChannel().write(hello);
+            }
+            channel.getSinkChannel().flush();
+            channel.getSourceChannel().setReadListener(this::readable);
+            channel.getSourceChannel().resumeReads();
+            listen();
+        } catch (IOException fault) {
+            lost();
+        }
+    }
+
+    private void listen() {
+        if (mute != null) {
+            mute.remove();
+        }
+        mute = io.executeAfter(this::lost, MUTE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void lost() {
+        if (mute != null) {
+            mute.remove();
+        }
+        mute = null;
+        IoUtils.safeClose(channel);
+        channel = null;
+        counters.count("connections to the coordinator lost");
+        again();
+    }
+
+    private void readable(ConduitStreamSourceChannel source) {
+        try {
+            while (true) {
+                buffer.clear();
+                int n = source.read(buffer);
+                if (n == 0) {
+                    return;
+                }
+                if (n < 0) {
+                    lost();
+                    return;
+                }
+                listen();
+                for (Frames.Frame frame : frames.take(buffer.flip())) {
+                    take(frame);
+                }
+            }
+        } catch (IOException fault) {
+            LOG.warning("the coordinator's connection is closed: " + fault.getMessage());
+            counters.count("malformed or broken lists");
+            lost();
+        }
+    }
+
+    private void take(Frames.Frame frame) throws IOException {
+        if (frame.kind() == 0 || frame.number() <= last) {
+            return;
+        }
+        if (frame.kind() > 2) {
+            throw new IOException("a frame of kind " + frame.kind());
+        }
+        tidings.listed(frame.kind() == 1 ? Kind.WHOLE : Kind.CHANGES, records.read(frame.payload()));
+        last = frame.number();
+        counters.count("changes of the list");
+    }
+
+    public void close() {
+        closed = true;
+        if (mute != null) {
+            mute.remove();
+        }
+        IoUtils.safeClose(channel);
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/net/list/Records.java
@@ -0,0 +1,82 @@
+package firstage.net.list;
+
+import firstage.door.EngineList.Standing;
+import firstage.net.Assignment;
+import firstage.net.Clock;
+import firstage.net.Tidings.Listed;
+import firstage.setup.Fields;
+import firstage.setup.MalformedLine;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+
+/** Reads the engines of one event, from a frame or from JSON. */
+final class Records {
+    private static final int SIZE = 27;
+    private static final double THOUSANDTHS = 1_000;
+    private final Clock clock;
+    private final List<String> zones;
+    private final List<String> kinds;
+
+    Records(Clock clock, Fields settings) {
+        this.clock = clock;
+        zones = Arrays.asList(settings.text("areas", "").split(","));
+        kinds = Arrays.asList(settings.text("kinds", "").split(","));
+    }
+
+    List<Listed> read(ByteBuffer payload) throws IOException {
+        if (payload.remaining() % SIZE != 0) {
+            throw new IOException("a piece of a record");
+        }
+        List<Listed> engines = new ArrayList<>();
+        while (payload.hasRemaining()) {
+            long id = payload.getInt() & 0xFFFFFFFFL;
+            byte[] address = new byte[4];
+            payload.get(address);
+            int port = payload.getShort() & 0xFFFF;
+            Standing standing = switch (payload.get()) {
+                case 0 -> Standing.ACTIVE;
+                case 1 -> Standing.LEAVING;
+                case 2 -> Standing.LEFT;
+                default -> throw new IOException("an unknown state");
+            };
+            int zone = payload.get() & 0xFF;
+            int kind = payload.get() & 0xFF;
+            int cell = payload.getShort() & 0xFFFF;
+            double weight = (payload.getInt() & 0xFFFFFFFFL) / THOUSANDTHS;
+            long started = payload.getLong();
+            engines.add(new Listed(id, new InetSocketAddress(InetAddress.getByAddress(address), port), zone, kind,
+                    cell, standing, weight, clock.of(started)));
+        }
+        return engines;
+    }
+
+    List<Listed> read(List<?> instances) {
+        List<Listed> engines = new ArrayList<>();
+        for (Object instance : instances) {
+            Fields f = new Fields((Map<?, ?>) instance);
+            Standing standing = switch (f.text("lifecycle", "Ready")) {
+                case "Ready" -> Standing.ACTIVE;
+                case "Terminating" -> Standing.LEAVING;
+                default -> Standing.LEFT;
+            };
+            engines.add(new Listed(id(f.need("instanceId")), Assignment.address(f.need("hostPort")),
+                    zones.indexOf(f.text("zone", "")), kinds.indexOf(f.text("machineType", "")),
+                    f.index("cell", 0), standing, f.number("weight", 1), clock.of(f.whole("startedAtMs", 0))));
+        }
+        return engines;
+    }
+
+    private static long id(String text) {
+        try {
+            return Long.parseLong(text.substring(text.indexOf('-') + 1), 16);
+        } catch (NumberFormatException fault) {
+            throw new MalformedLine("no engine's id: " + text);
+        }
+    }
+}
--- a/src/main/java/firstage/benchlink/Fields.java
+++ b/src/main/java/firstage/setup/Fields.java
@@ -1,15 +1,17 @@
-package firstage.benchlink;
+package firstage.setup;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 /** The name=value parts of one line. Times leave as whole tenths of a millisecond. */
-final class Fields {
+public final class Fields {
     private static final double TENTHS_PER_SECOND = 10_000;
     private final Map<String, String> parts = new HashMap<>();
 
     /** Reads the parts of {@code line} after its first word; the values hold no spaces. */
-    Fields(String line) {
+    public Fields(String line) {
         int at = line.indexOf(' ');
         while (at >= 0) {
             int next = line.indexOf(' ', at + 1);
@@ -22,11 +24,32 @@
         }
     }
 
-    boolean has(String name) {
+    /** Takes nested values, as JSON holds them, under their paths with dots; lists of scalars with commas. */
+    public Fields(Map<?, ?> nested) {
+        put("", nested);
+    }
+
+    private void put(String path, Object value) {
+        String dot = path.isEmpty() ? "" : path + ".";
+        if (value instanceof Map<?, ?> map) {
+            map.forEach((name, part) -> put(dot + name, part));
+        } else if (value instanceof List<?> list && list.stream().anyMatch(Map.class::isInstance)) {
+            parts.put(dot + "count", String.valueOf(list.size()));
+            for (int i = 0; i < list.size(); i++) {
+                put(dot + i, list.get(i));
+            }
+        } else if (value instanceof List<?> list) {
+            parts.put(path, list.stream().map(String::valueOf).collect(Collectors.joining(",")));
+        } else if (value != null) {
+            parts.put(path, value.toString());
+        }
+    }
+
+    public boolean has(String name) {
         return parts.containsKey(name);
     }
 
-    String need(String name) {
+    public String need(String name) {
         String value = parts.get(name);
         if (value == null) {
             throw new MalformedLine("missing " + name);
@@ -34,7 +57,7 @@
         return value;
     }
 
-    long needWhole(String name) {
+    public long needWhole(String name) {
         try {
             return Long.parseLong(need(name));
         } catch (NumberFormatException fault) {
@@ -42,7 +65,7 @@
         }
     }
 
-    double needNumber(String name) {
+    public double needNumber(String name) {
         try {
             return Double.parseDouble(need(name));
         } catch (NumberFormatException fault) {
@@ -50,37 +73,37 @@
         }
     }
 
-    String text(String name, String absent) {
+    public String text(String name, String absent) {
         return parts.getOrDefault(name, absent);
     }
 
-    long whole(String name, long absent) {
+    public long whole(String name, long absent) {
         return has(name) ? needWhole(name) : absent;
     }
 
-    int index(String name, int absent) {
+    public int index(String name, int absent) {
         return (int) whole(name, absent);
     }
 
-    double number(String name, double absent) {
+    public double number(String name, double absent) {
         return has(name) ? needNumber(name) : absent;
     }
 
-    boolean flag(String name) {
+    public boolean flag(String name) {
         String value = parts.get(name);
         return "1".equals(value) || "true".equals(value);
     }
 
-    long time(String name) {
+    public long time(String name) {
         return tenths(number(name, 0));
     }
 
-    static long tenths(double seconds) {
+    public static long tenths(double seconds) {
         return (long) Math.floor(seconds * TENTHS_PER_SECOND + 1e-6);
     }
 
     /** Seconds as the wire writes them. */
-    static String seconds(long tenths) {
+    public static String seconds(long tenths) {
         long abs = Math.abs(tenths);
         String fraction = Long.toString(10_000 + abs % 10_000).substring(1);
         return (tenths < 0 ? "-" : "") + abs / 10_000 + "." + fraction;
--- a/src/main/java/firstage/benchlink/Indices.java
+++ b/src/main/java/firstage/setup/Indices.java
@@ -1,4 +1,4 @@
-package firstage.benchlink;
+package firstage.setup;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -6,12 +6,12 @@
 import java.util.Map;
 
 /** Maps the wire's ids to small indices and back; released indices serve again. */
-final class Indices<T> {
+public final class Indices<T> {
     private final Map<T, Integer> byId = new HashMap<>();
     private final List<T> ids = new ArrayList<>();
     private final List<Integer> free = new ArrayList<>();
 
-    int of(T id) {
+    public int of(T id) {
         Integer known = byId.get(id);
         if (known != null) {
             return known;
@@ -27,15 +27,20 @@
     }
 
     /** The index of {@code id}, or -1 if it has none. */
-    int find(T id) {
+    public int find(T id) {
         return byId.getOrDefault(id, -1);
     }
 
-    T id(int index) {
+    public T id(int index) {
         return ids.get(index);
     }
 
-    void release(int index) {
+    /** How many ids have an index. */
+    public int inUse() {
+        return byId.size();
+    }
+
+    public void release(int index) {
         byId.remove(ids.get(index));
         ids.set(index, null);
         free.add(index);
--- a/src/main/java/firstage/benchlink/MalformedLine.java
+++ b/src/main/java/firstage/setup/MalformedLine.java
@@ -1,10 +1,10 @@
-package firstage.benchlink;
+package firstage.setup;
 
 /** A line of the wire that cannot be read; the message names the fault. */
-final class MalformedLine extends RuntimeException {
+public final class MalformedLine extends RuntimeException {
     private static final long serialVersionUID = 1;
 
-    MalformedLine(String fault) {
+    public MalformedLine(String fault) {
         super(fault);
     }
 }
--- a/src/main/java/firstage/benchlink/Setup.java
+++ b/src/main/java/firstage/setup/Setup.java
@@ -1,4 +1,4 @@
-package firstage.benchlink;
+package firstage.setup;
 
 import firstage.door.Deployment;
 import firstage.door.ServiceGroup;
@@ -9,11 +9,11 @@
 import java.util.Set;
 
 /** Turns the wire's settings into what the decisions are told of a deployment. Unknown keys are skipped. */
-final class Setup {
+public final class Setup {
     private Setup() {
     }
 
-    static Deployment read(Fields f) {
+    public static Deployment read(Fields f) {
         String[] threads = list(f, "family_info.dop");
         String[] loads = list(f, "family_info.class_load");
         String[] yields = list(f, "family_info.yields_to_loads");
