A path to ask at for long batches, integration tests on loopback, scanner exact about brackets

A held call that breaks cost its batch: after 250 ms the client gets a path, and a GET that breaks is made again for the same answer. Tests start the packaged program with stand-ins for engines and coordinator.

--- a/src/main/java/firstage/net/clients/ClientDoor.java
+++ b/src/main/java/firstage/net/clients/ClientDoor.java
@@ -20,7 +20,9 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -35,6 +37,10 @@
     private static final int MOST_STATEMENT = 64 * 1024;
     private static final int MOST_HEAD = 16 * 1024;
     private static final int BACKLOG = 512;
+    /** Clients close their idle connections after 4 s; what is silent for longer is nobody's. */
+    private static final int MOST_IDLE_MS = 20_000;
+    private static final int MOST_PARSE_MS = 5_000;
+    private static final String NEWS = "/news/";
     private static final HttpString JOB = new HttpString("X-Job-Id");
     private static final HttpString ALLOW = new HttpString("X-Allow-Ms");
     private static final HttpString TEAM = new HttpString("X-Team");
@@ -50,7 +56,11 @@
     private final List<String> customers = new ArrayList<>();
     private AcceptingChannel<StreamConnection> server;
     private HttpOpenListener http;
-    private int pending;
+    /** By the path at which the client may ask. */
+    private final Map<String, PendingCall> pending = new HashMap<>();
+    private long taken;
+    private int unanswered;
+    private int writing;
     private boolean closing;
 
     public ClientDoor(XnioIoThread io, Clock clock, Counters counters, Tidings tidings, Assignment assignment) {
@@ -73,6 +83,8 @@
         http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.MAX_ENTITY_SIZE, (long) MOST_STATEMENT)
                 .set(UndertowOptions.MAX_HEADER_SIZE, MOST_HEAD)
+                .set(UndertowOptions.NO_REQUEST_TIMEOUT, MOST_IDLE_MS)
+                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, MOST_PARSE_MS)
                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false).getMap());
         http.setRootHandler(this::call);
@@ -88,12 +100,20 @@
         IoUtils.safeClose(server);
     }
 
+    /** Whether all that was taken is answered, and the answers are written. */
     public boolean idle() {
-        return pending == 0;
+        return unanswered == 0 && writing == 0;
     }
 
-    void answered() {
-        pending--;
+    void given() {
+        unanswered--;
+    }
+
+    /** A call that nobody asks for any more. */
+    void over(PendingCall call, boolean given) {
+        if (pending.remove(call.path(), call) && !given) {
+            unanswered--;
+        }
     }
 
     boolean closing() {
@@ -111,6 +131,10 @@
             }
             return;
         }
+        if (path.startsWith(NEWS)) {
+            news(x, pending.get(path));
+            return;
+        }
         String group = path.substring(path.lastIndexOf('/') + 1);
         if (group.isEmpty() || path.indexOf('/', 1) < 0) {
             refuse(x, 404, "no such path");
@@ -133,6 +157,20 @@
         }
     }
 
+    private void news(HttpServerExchange x, PendingCall call) {
+        if (call == null) {
+            refuse(x, 404, "no such path");
+        } else if (x.getRequestMethod().equals(Methods.GET)) {
+            x.dispatch(SameThreadExecutor.INSTANCE, () -> call.asked(x));
+        } else if (x.getRequestMethod().equals(Methods.DELETE)) {
+            call.gaveUp();
+            x.setStatusCode(204);
+            x.endExchange();
+        } else {
+            refuse(x, 405, "GET or DELETE only");
+        }
+    }
+
     /** An answer to what can't be used; it never reached an engine. */
     void refuse(HttpServerExchange x, int status, String why) {
         counters.count("calls answered " + status);
@@ -140,7 +178,12 @@
         send(x, ByteBuffer.wrap(("{\"err\":\"" + why + "\"}\n").getBytes(StandardCharsets.US_ASCII)));
     }
 
-    static void send(HttpServerExchange x, ByteBuffer body) {
+    void send(HttpServerExchange x, ByteBuffer body) {
+        writing++;
+        x.addExchangeCompleteListener((over, next) -> {
+            writing--;
+            next.proceed();
+        });
         x.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
         x.getResponseHeaders().put(Headers.CONTENT_LENGTH, body.remaining());
         x.getResponseSender().send(body);
@@ -167,10 +210,11 @@
         } else if (customer < 0) {
             refuse(x, 400, "X-Team is missing or unknown");
         } else {
-            pending++;
-            PendingCall call = new PendingCall(this, x);
+            PendingCall call = new PendingCall(this, NEWS + taken++ + "-" + id);
             Exchange batch = new Exchange(id, group, statement, now + (long) (allow * 10), call);
-            call.watch(batch);
+            pending.put(call.path(), call);
+            unanswered++;
+            call.start(batch, x);
             tidings.taken(batch, groups.indexOf(group), customer, x.getRequestHeaders().getFirst(ITEM),
                     (long) (estimate * 10), (int) memory, Statement.group(statement));
         }
--- a/src/main/java/firstage/net/clients/PendingCall.java
+++ b/src/main/java/firstage/net/clients/PendingCall.java
@@ -9,55 +9,128 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
- * A client's call that waits for its answer. The connection is read meanwhile, which Undertow does not do by
- * itself: a client that gives up closes it, and is owed nothing from then on.
+ * A batch as its client sees it. The client's call is held until there is an answer; where that takes long, the
+ * client gets a path to ask at instead, so that a connection that breaks costs a call and not the batch. The
+ * connection is read while a call is held, which Undertow does not do by itself: a client with no path yet that
+ * gives up closes it, and is owed nothing from then on.
  */
 final class PendingCall implements Exchange.Reply {
     private static final HttpString WAIT = new HttpString("X-Wait-Ms");
     private static final byte[] FAILED = "{\"err\":\"Failed\"}\n".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] BUSY = "{\"err\":\"Busy\"}\n".getBytes(StandardCharsets.US_ASCII);
+    /** A first call is held so long: as the engines hold theirs. */
+    private static final long FIRST_HELD_MS = 250;
+    /** A client calls again at once, three times at most; so long it may take, and an answer be asked for anew. */
+    private static final long AGAIN_MS = 2_000;
+
+    private record Answer(int status, long comeBack, ByteBuffer body) {
+    }
+
     private final ClientDoor door;
-    private final HttpServerExchange x;
-    private final AbstractServerConnection connection;
+    private final String path;
     private Exchange batch;
+    /** The call that is held, if there is one. */
+    private HttpServerExchange held;
+    private Answer answer;
+    private boolean given;
+    /** When nothing happens until then: the path is given, or the client taken as gone. */
+    private XnioExecutor.Key timer;
 
-    PendingCall(ClientDoor door, HttpServerExchange x) {
+    PendingCall(ClientDoor door, String path) {
         this.door = door;
-        this.x = x;
-        this.connection = (AbstractServerConnection) x.getConnection();
+        this.path = path;
+    }
+
+    String path() {
+        return path;
+    }
+
+    void start(Exchange started, HttpServerExchange first) {
+        batch = started;
+        hold(first);
+        after(FIRST_HELD_MS, this::givePath);
+    }
+
+    private void after(long ms, Runnable task) {
+        if (timer != null) {
+            timer.remove();
+        }
+        timer = door.io.executeAfter(task, ms, TimeUnit.MILLISECONDS);
+    }
+
+    private void givePath() {
+        if (held != null && answer == null) {
+            HttpServerExchange x = release();
+            door.send(x, ByteBuffer.wrap(("{\"poll\":\"" + path + "\"}").getBytes(StandardCharsets.US_ASCII)));
+            after(AGAIN_MS, this::gone);
+        }
+    }
+
+    /** The client asks at the path. */
+    void asked(HttpServerExchange x) {
+        if (held != null) {
+            // It calls on a new connection: it knows the old one to be broken before this side does.
+            HttpServerExchange old = release();
+            IoUtils.safeClose(old.getConnection());
+            old.endExchange();
+        }
+        hold(x);
+        if (answer != null) {
+            give();
+        } else if (timer != null) {
+            timer.remove();
+            timer = null;
+        }
     }
 
-    void watch(Exchange batch) {
-        this.batch = batch;
+    /** The client gave up by the path. */
+    void gaveUp() {
+        gone();
+    }
+
+    private void hold(HttpServerExchange x) {
+        held = x;
+        AbstractServerConnection connection = (AbstractServerConnection) x.getConnection();
         connection.getChannel().getSourceChannel().setReadListener(this::readable);
         connection.getOriginalSourceConduit().resumeReads();
     }
 
-    private void unwatch() {
+    private HttpServerExchange release() {
+        HttpServerExchange x = held;
+        held = null;
+        AbstractServerConnection connection = (AbstractServerConnection) x.getConnection();
         connection.getOriginalSourceConduit().suspendReads();
         connection.getChannel().getSourceChannel().setReadListener(null);
+        return x;
     }
 
     private void readable(ConduitStreamSourceChannel source) {
+        if (held == null) {
+            source.suspendReads();
+            return;
+        }
+        AbstractServerConnection connection = (AbstractServerConnection) held.getConnection();
         PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
         boolean kept = false;
         try {
             int n = connection.getOriginalSourceConduit().read(pooled.getBuffer());
             if (n < 0) {
-                left();
+                broken();
             } else if (n > 0) {
-                // The next call, early: it waits for its turn, and the close of this client goes unnoticed.
+                // The next call, early: it waits for its turn, and a close goes unnoticed from here on.
                 pooled.getBuffer().flip();
                 connection.setExtraBytes(pooled);
                 kept = true;
-                unwatch();
+                connection.getOriginalSourceConduit().suspendReads();
             }
         } catch (IOException fault) {
-            left();
+            broken();
         } finally {
             if (!kept) {
                 pooled.close();
@@ -65,37 +138,77 @@
         }
     }
 
-    private void left() {
-        unwatch();
-        IoUtils.safeClose(connection);
-        door.answered();
+    private void broken() {
+        boolean hasPath = !held.getRequestMethod().equals(io.undertow.util.Methods.POST);
+        HttpServerExchange x = release();
+        IoUtils.safeClose(x.getConnection());
         x.endExchange();
-        door.tidings.left(batch);
+        if (hasPath) {
+            door.counters.count("held calls broken");
+            after(AGAIN_MS, this::gone);
+        } else {
+            gone();
+        }
+    }
+
+    /** Ends it for good: nobody asks any more. */
+    private void gone() {
+        if (timer != null) {
+            timer.remove();
+        }
+        if (held != null) {
+            HttpServerExchange x = release();
+            IoUtils.safeClose(x.getConnection());
+            x.endExchange();
+        }
+        door.over(this, given);
+        if (answer == null) {
+            answer = new Answer(500, 0, ByteBuffer.wrap(FAILED));
+            door.tidings.left(batch);
+        }
     }
 
     @Override
     public void returned(List<byte[]> pages) {
-        answer(200, Rows.answer(pages));
+        answer(new Answer(200, 0, Rows.answer(pages)));
     }
 
     @Override
     public void pushedBack(long comeBack) {
-        if (comeBack > 0) {
-            x.getResponseHeaders().put(WAIT, comeBack / 10);
-        }
-        answer(503, ByteBuffer.wrap(BUSY));
+        answer(new Answer(503, comeBack, ByteBuffer.wrap(BUSY)));
     }
 
     @Override
     public void errored() {
-        answer(500, ByteBuffer.wrap(FAILED));
+        answer(new Answer(500, 0, ByteBuffer.wrap(FAILED)));
+    }
+
+    private void answer(Answer all) {
+        answer = all;
+        if (held != null) {
+            give();
+        }
     }
 
-    private void answer(int status, ByteBuffer body) {
-        unwatch();
-        door.answered();
-        x.setStatusCode(status);
+    /** Gives the answer to the call that is held, and keeps it for one that is made again. */
+    private void give() {
+        HttpServerExchange x = release();
+        boolean hasPath = !x.getRequestMethod().equals(io.undertow.util.Methods.POST);
+        if (!given) {
+            given = true;
+            door.given();
+        }
+        if (answer.comeBack() > 0) {
+            x.getResponseHeaders().put(WAIT, answer.comeBack() / 10);
+        }
+        x.setStatusCode(answer.status());
         x.setPersistent(x.isPersistent() && !door.closing());
-        ClientDoor.send(x, body);
+        door.send(x, answer.body().duplicate());
+        if (hasPath) {
+            after(AGAIN_MS, this::gone);
+        } else {
+            timer.remove();
+            door.over(this, true);
+        }
     }
 }
--- a/src/main/java/firstage/net/clients/Statement.java
+++ b/src/main/java/firstage/net/clients/Statement.java
@@ -1,11 +1,20 @@
 package firstage.net.clients;
 
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Locale;
+import java.util.Set;
+
 /**
  * Finds the group of tables that a statement reads or writes: the number after the underscore in the name of
  * the schema (17 in {@code sales_17.orders}). What stands in strings and comments does not count, nor does the
  * schema {@code staging}; only a name in a place where a table may stand is one of a schema.
  */
 final class Statement {
+    private static final Set<String> OPEN = Set.of("from", "join", "into", "update", "table", "using", "copy");
+    private static final Set<String> CLOSE = Set.of("select", "where", "on", "group", "order", "having", "set",
+            "values", "limit", "union");
     private final String text;
     private int at;
     /** The token last read: a name (as written, without quotes), one sign, or null at the end. */
@@ -13,7 +22,7 @@
     private boolean name;
 
     private Statement(byte[] bytes) {
-        text = new String(bytes, java.nio.charset.StandardCharsets.UTF_8);
+        text = new String(bytes, StandardCharsets.UTF_8);
     }
 
     /** The group, or -1 where the statement names none. */
@@ -22,48 +31,44 @@
     }
 
     private int find() {
+        // Where tables may stand: after FROM and its like, in the statement or in a query within brackets.
         boolean tables = false;
-        int fallback = -1;
-        for (next(); token != null; ) {
-            if (!name) {
-                tables &= token.equals(",") || token.equals("(");
-                next();
-                continue;
-            }
-            String first = token;
-            boolean opens = opensTables(first);
+        boolean query = true;
+        Deque<boolean[]> outer = new ArrayDeque<>();
+        String before = "";
+        int elsewhere = -1;
+        next();
+        while (token != null) {
+            String word = token;
+            boolean isName = name;
             next();
-            if (".".equals(token)) {
-                int group = number(first);
+            if (isName && ".".equals(token)) {
+                int group = number(word);
                 next();
-                if (name && token != null) {
+                if (name) {
                     next();
                 }
                 if (group >= 0 && tables) {
                     return group;
                 }
-                if (group >= 0 && fallback < 0) {
-                    fallback = group;
-                }
-                continue;
+                elsewhere = elsewhere < 0 ? group : elsewhere;
+            } else if (isName) {
+                query |= word.equalsIgnoreCase("select");
+                boolean opens = OPEN.contains(word.toLowerCase(Locale.ROOT)) && query
+                        && !before.equalsIgnoreCase("distinct");
+                tables = opens || tables && !CLOSE.contains(word.toLowerCase(Locale.ROOT));
+            } else if (word.equals("(")) {
+                outer.push(new boolean[] {tables, query});
+                query = false;
+            } else if (word.equals(")") && !outer.isEmpty()) {
+                tables = outer.peek()[0];
+                query = outer.pop()[1];
+            } else {
+                tables &= word.equals(",");
             }
-            tables = opens || tables && !endsTables(first);
+            before = word;
         }
-        return fallback;
-    }
-
-    private static boolean opensTables(String word) {
-        return switch (word.toLowerCase(java.util.Locale.ROOT)) {
-            case "from", "join", "into", "update", "table", "using", "copy" -> true;
-            default -> false;
-        };
-    }
-
-    private static boolean endsTables(String word) {
-        return switch (word.toLowerCase(java.util.Locale.ROOT)) {
-            case "select", "where", "on", "group", "order", "having", "set", "values", "limit", "union" -> true;
-            default -> false;
-        };
+        return elsewhere;
     }
 
     /** The digits after the last underscore of a schema's name, or -1. */
@@ -96,7 +101,7 @@
             token = "'";
         } else if (Character.isUnicodeIdentifierStart(c) || c == '_') {
             int from = at;
-            while (at < text.length() && (Character.isUnicodeIdentifierPart(text.charAt(at)) || text.charAt(at) == '$')) {
+            while (at < text.length() && isPart(text.charAt(at))) {
                 at++;
             }
             token = text.substring(from, at);
@@ -112,6 +117,10 @@
         }
     }
 
+    private static boolean isPart(char c) {
+        return Character.isUnicodeIdentifierPart(c) || c == '$';
+    }
+
     /** Reads a quoted text; a doubled quote within stands for one. */
     private String quoted(char quote) {
         StringBuilder content = new StringBuilder();
--- a/src/main/java/firstage/net/engines/ResponseReader.java
+++ b/src/main/java/firstage/net/engines/ResponseReader.java
@@ -3,7 +3,9 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 
 /** Reads one HTTP/1.1 response from bytes that come in any pieces. */
@@ -33,7 +35,7 @@
                     throw new IOException("head too long");
                 }
                 if (b == '\n') {
-                    String text = line.toString(java.nio.charset.StandardCharsets.ISO_8859_1).stripTrailing();
+                    String text = line.toString(StandardCharsets.ISO_8859_1).stripTrailing();
                     line.reset();
                     line(text);
                 } else {
@@ -83,7 +85,7 @@
             case HEADERS -> {
                 int colon = text.indexOf(':');
                 if (colon > 0) {
-                    headers.put(text.substring(0, colon).trim().toLowerCase(java.util.Locale.ROOT),
+                    headers.put(text.substring(0, colon).trim().toLowerCase(Locale.ROOT),
                             text.substring(colon + 1).trim());
                 } else if (text.isEmpty()) {
                     headDone();
@@ -108,10 +110,13 @@
             part = Part.STATUS;
         } else if (status == 204 || status == 304) {
             part = Part.DONE;
-        } else if (headers.getOrDefault("transfer-encoding", "").toLowerCase(java.util.Locale.ROOT).endsWith("chunked")) {
+        } else if (headers.getOrDefault("transfer-encoding", "").toLowerCase(Locale.ROOT).endsWith("chunked")) {
             part = Part.CHUNK_SIZE;
         } else if (headers.containsKey("content-length")) {
             left = number(headers.get("content-length"), 10);
+            if (left > MOST_BODY) {
+                throw new IOException("body too long");
+            }
             part = left == 0 ? Part.DONE : Part.BODY;
         } else {
             part = Part.TO_END;
--- /dev/null
+++ b/src/test/java/firstage/net/ServeIT.java
@@ -0,0 +1,564 @@
+package firstage.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.Function;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Starts the packaged program and speaks to it over loopback, with stand-ins for engines and coordinator. */
+@Timeout(60)
+class ServeIT {
+    private static final String OK = "HTTP/1.1 200 OK\r\nPage-Count: 1\r\nContent-Length: 4\r\n\r\na\tb\n";
+    private static final String NOTHING_NEW = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+    private static final String SHED = "HTTP/1.1 503 Busy\r\nX-Shed: 1\r\nContent-Length: 0\r\n\r\n";
+    private static final String RESET = "reset";
+    private static final String SILENCE = "silence";
+    @TempDir
+    private Path folder;
+    private final List<AutoCloseable> opened = new ArrayList<>();
+    private Process program;
+    private int port;
+    private StandInEngine one;
+    private StandInCoordinator coordinator;
+    private int jobs;
+
+    @BeforeEach
+    void start() throws Exception {
+        one = new StandInEngine();
+        coordinator = new StandInCoordinator();
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        program = launch(config());
+        while (true) {
+            try (Client c = new Client()) {
+                assertThat(c.call("GET /alive", "", "").status).isEqualTo(200);
+                return;
+            } catch (IOException notYet) {
+                assertThat(program.isAlive()).isTrue();
+                Thread.sleep(20);
+            }
+        }
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        program.destroyForcibly().waitFor();
+        for (AutoCloseable each : opened) {
+            each.close();
+        }
+    }
+
+    @Test
+    void aBatchGoesOnByteForByteAndAllItsPagesComeBack() throws Exception {
+        one.script = seen -> switch (seen.what.replaceAll("/x/[0-9a-f]+", "/x/ID")) {
+            case "POST /x" -> page("Page-Count: 3", "q\"\\\t\u00e9\u4e2d\t\u0001\n");
+            case "GET /x/ID/1" -> page("Page-No: 1", "r2\t\t2\nr3\tx\t3\n");
+            case "GET /x/ID/2" -> page("Page-No: 2", "");
+            default -> throw new IllegalStateException(seen.what);
+        };
+        String statement = "SELECT '\u4e2d' /* \t */ FROM sales_17.orders\r\n";
+        try (Client c = new Client()) {
+            Message answer = c.post("lookup", "X-Size-Ms: 20.0\r\nX-Memory: 96\r\n", statement, 2000);
+            assertThat(answer.status).isEqualTo(200);
+            assertThat(answer.body).isEqualTo("{\"page\":[[\"q\\\"\\\\\",\"\u00e9\u4e2d\",\"\\u0001\"],"
+                    + "[\"r2\",\"\",\"2\"],[\"r3\",\"x\",\"3\"]]}");
+        }
+        Message post = one.next("POST /x");
+        assertThat(post.body).isEqualTo(statement);
+        assertThat(post.headers).containsEntry("x-ticket", job(1)).containsEntry("x-queue", "lookup")
+                .containsEntry("grant-mb", "120").containsKey("rank");
+        assertThat(Integer.parseInt(post.headers.get("x-max-ms"))).isBetween(1, 2000);
+    }
+
+    @Test
+    void oneConnectionServesManyCallsInTurn() throws Exception {
+        try (Client c = new Client()) {
+            for (int i = 0; i < 20; i++) {
+                assertThat(c.post("lookup", "", "SELECT 1", 2000).body).isEqualTo("{\"page\":[[\"a\",\"b\"]]}");
+            }
+        }
+    }
+
+    @Test
+    void whatEveryEngineTurnsAwayIsPushedBackWithATimeToComeBack() throws Exception {
+        one.script = seen -> SHED;
+        try (Client c = new Client()) {
+            Message answer = c.post("load", "X-Item: 7f\r\n", "INSERT INTO sales_3.t VALUES (1)", 900);
+            answer = c.follow(answer);
+            assertThat(answer.status).isEqualTo(503);
+            assertThat(answer.headers).containsKey("x-wait-ms");
+            assertThat(answer.body).contains("\"err\":\"Busy\"");
+        }
+    }
+
+    @Test
+    void aLongBatchGetsAPathAndABrokenCallThereCostsNothing() throws Exception {
+        one.script = seen -> NOTHING_NEW;
+        String path;
+        try (Client c = new Client()) {
+            path = c.post("report", "", "SELECT 1", 9000).poll();
+            c.write("GET " + path, "", "");
+        }
+        one.script = seen -> OK;
+        for (int again = 0; again < 2; again++) {
+            try (Client c = new Client()) {
+                assertThat(c.call("GET " + path, "", "").body).isEqualTo("{\"page\":[[\"a\",\"b\"]]}");
+            }
+        }
+    }
+
+    @Test
+    void aClientThatClosesOrDeletesEndsItsBatchAtTheEngine() throws Exception {
+        one.script = seen -> seen.what.startsWith("GET") ? NOTHING_NEW : seen.what.startsWith("DELETE")
+                ? "HTTP/1.1 204 No Content\r\n\r\n" : SILENCE;
+        try (Client c = new Client()) {
+            c.write("POST /ops/report", c.fields("report", 9000), "SELECT 1");
+            one.next("POST /x");
+        }
+        assertThat(one.next("DELETE").what).endsWith(job(1));
+        one.script = seen -> seen.what.startsWith("DELETE") ? "HTTP/1.1 204 No Content\r\n\r\n" : NOTHING_NEW;
+        try (Client c = new Client(); Client other = new Client()) {
+            String path = c.post("report", "", "SELECT 1", 9000).poll();
+            assertThat(other.call("DELETE " + path, "", "").status).isEqualTo(204);
+            assertThat(other.call("GET " + path, "", "").status).isEqualTo(404);
+        }
+        assertThat(one.next("DELETE").what).endsWith(job(2));
+    }
+
+    @Test
+    void aOnceOnlyBatchThatMayHaveRunIsNeverSentTwice() throws Exception {
+        one.script = seen -> RESET;
+        try (Client c = new Client()) {
+            Message answer = c.follow(c.post("load", "X-Item: 7f\r\n", "INSERT INTO sales_3.t VALUES (1)", 3000));
+            assertThat(answer.status).isEqualTo(500);
+        }
+        one.close();
+        assertThat(one.seen.stream().filter(m -> m.what.startsWith("POST"))).hasSize(1);
+    }
+
+    @Test
+    void aRefusedConnectionProvesThatNothingRan() throws Exception {
+        one.close();
+        StandInEngine two = new StandInEngine();
+        coordinator.tell(2, record(2, two.port(), 0));
+        try (Client c = new Client()) {
+            Message answer = c.follow(c.post("load", "X-Item: 7f\r\n", "INSERT INTO sales_3.t VALUES (1)", 5000));
+            assertThat(answer.body).isEqualTo("{\"page\":[[\"a\",\"b\"]]}");
+        }
+    }
+
+    @Test
+    void pagesLostWithTheirEngineAreMadeAnewElsewhere() throws Exception {
+        StandInEngine two = new StandInEngine();
+        one.script = seen -> {
+            if (seen.what.startsWith("POST")) {
+                return page("Page-Count: 2", "first\tof two\n");
+            }
+            coordinator.tell(2, record(2, two.port(), 0));
+            one.close();
+            return RESET;
+        };
+        try (Client c = new Client()) {
+            assertThat(c.follow(c.post("lookup", "", "SELECT 1", 9000)).body)
+                    .isEqualTo("{\"page\":[[\"a\",\"b\"]]}");
+        }
+    }
+
+    @Test
+    void aSilentEngineCostsTheBatchButIsAnsweredInTime() throws Exception {
+        one.script = seen -> SILENCE;
+        try (Client c = new Client()) {
+            long from = System.nanoTime();
+            Message answer = c.follow(c.post("load", "X-Item: 7f\r\n", "INSERT INTO sales_3.t VALUES (1)", 1200));
+            assertThat(answer.status).isEqualTo(500);
+            assertThat((System.nanoTime() - from) / 1_000_000).isLessThan(2000);
+        }
+    }
+
+    @Test
+    void anAnswerThatNobodyCanReadIsAnErrorOfThatDispatchOnly() throws Exception {
+        one.script = seen -> "what is this\r\n\r\n";
+        try (Client c = new Client()) {
+            Message answer = c.follow(c.post("load", "X-Item: 7f\r\n", "INSERT INTO sales_3.t VALUES (1)", 2000));
+            assertThat(answer.status).isEqualTo(500);
+        }
+        one.script = seen -> OK;
+        try (Client c = new Client()) {
+            assertThat(c.follow(c.post("lookup", "", "SELECT 1", 9000)).status).isEqualTo(200);
+        }
+    }
+
+    @Test
+    void theListIsFollowedFromWhereItBrokeOff() throws Exception {
+        assertThat(coordinator.asked.take()).isEqualTo(1L);
+        StandInEngine two = new StandInEngine();
+        coordinator.tell(2, record(1, one.port(), 1));
+        coordinator.tell(3, record(2, two.port(), 0));
+        two.awaitUse(this);
+        coordinator.breakOff();
+        assertThat(coordinator.asked.take()).isEqualTo(3L);
+    }
+
+    @Test
+    void afterSigtermAllThatWasTakenIsAnsweredAndTheProgramEndsWithZero() throws Exception {
+        one.script = seen -> NOTHING_NEW;
+        try (Client c = new Client()) {
+            String path = c.post("report", "", "SELECT 1", 9000).poll();
+            c.write("GET " + path, "", "");
+            program.destroy();
+            try (Client late = new Client()) {
+                one.script = seen -> OK;
+                assertThat(late.follow(late.post("lookup", "", "SELECT 1", 5000)).status).isEqualTo(200);
+            }
+            assertThat(c.read().body).isEqualTo("{\"page\":[[\"a\",\"b\"]]}");
+        }
+        assertThat(program.waitFor()).isZero();
+        assertThat(Files.readString(folder.resolve("log"))).contains("batches returned=2").doesNotContain("broken:");
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "400 | POST /ops/nosuch    | X-Job-Id: 00000000000000aa,X-Allow-Ms: 500,X-Team: t",
+        "400 | POST /ops/lookup    | X-Allow-Ms: 500,X-Team: t",
+        "400 | POST /ops/lookup    | X-Job-Id: short,X-Allow-Ms: 500,X-Team: t",
+        "400 | POST /ops/lookup    | X-Job-Id: 00000000000000aa,X-Team: t",
+        "400 | POST /ops/lookup    | X-Job-Id: 00000000000000aa,X-Allow-Ms: soon,X-Team: t",
+        "400 | POST /ops/lookup    | X-Job-Id: 00000000000000aa,X-Allow-Ms: 500,X-Team: nobody",
+        "400 | POST /ops/lookup    | X-Job-Id: 00000000000000aa,X-Allow-Ms: 500,X-Team: t,X-Size-Ms: big",
+        "404 | GET /elsewhere      | X-Any: 1",
+        "404 | GET /news/0-00      | X-Any: 1",
+        "405 | GET /ops/lookup     | X-Any: 1",
+        "405 | POST /alive         | X-Any: 1",
+        "413 | POST /ops/lookup    | X-Job-Id: 00000000000000aa,X-Allow-Ms: 500,X-Team: t,Content-Length: 9999999",
+    })
+    void whatCannotBeUsedIsAnsweredAndNeverReachesAnEngine(int status, String what, String fields) throws Exception {
+        try (Client c = new Client()) {
+            Message answer = c.call(what, fields.trim().replace(",", "\r\n") + "\r\n", "");
+            assertThat(answer.status).isEqualTo(status);
+            assertThat(answer.body).startsWith("{\"err\":").hasLineCount(1);
+        }
+        assertThat(one.seen).isEmpty();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"'{\"listen\":'", "'{}'", "'{\"settings\":{}}'", "'{\"settings\":{},\"listen\":\"nowhere\"}'"})
+    void aBrokenConfigurationEndsTheProgramWithOneLine(String broken) throws Exception {
+        Process failed = launch(broken);
+        assertThat(failed.waitFor()).isEqualTo(2);
+        assertThat(Files.readString(folder.resolve("log"))).startsWith("can't serve: ").hasLineCount(1);
+    }
+
+    // ---- The program and what it is told.
+    private Process launch(String config) throws IOException {
+        Path file = Files.writeString(Files.createTempFile(folder, "config", ".json"), config);
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-ea", "-Xmx64m", "-jar", Path.of("target", "firstage.jar").toString(), "serve");
+        builder.environment().put("ROUTER_CONFIG", file.toString());
+        return builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+    }
+
+    private String config() {
+        return """
+                {"name":"m","listen":"127.0.0.1:%d","seed":"1f","limits":{"memory_mb":192,"sockets":1024},
+                 "coordinator":"127.0.0.1:%d","more":null,
+                 "known":{"index":1,"updates":[{"index":1,"endpoints":{"generation":0,"reset":true,"instances":[
+                   {"instanceId":"s-00000001","hostPort":"127.0.0.1:%d","zone":"z","machineType":"k","cell":0,
+                    "lifecycle":"Ready","weight":1,"startedAtMs":0}]}}]},
+                 "settings":{"areas":["z"],"kinds":["k"],"group_size":1,"rank":0,"zone":0,"unknown":{"a":[{}]},
+                  "classes":[%s,%s,%s],"tenants":[{"name":"t","quota_per_s":100}],
+                  "family_info":{"dop":[1,2,2],"kind_cores":[4],"size_mb":[8192],"takes_grants":true,
+                    "lanes_count":true,"progress_pace":0.5,"largest_share":0.5},
+                  "limits":{"connect_timeout":0.25,"keepalive":10,"max_attempts":4,"max_retry_after":2,
+                    "retry_after":true,"second_copies":false},
+                  "rules":{"drain_grace":0.5}}}
+                """.formatted(port, coordinator.port(), one.port(), group("lookup", "retryable"),
+                group("report", "retryable"), group("load", "fragile"));
+    }
+
+    private static String group(String name, String effect) {
+        return "{\"name\":\"" + name + "\",\"effect\":\"" + effect + "\",\"target\":2,\"deadline\":9,\"worth\":1,"
+                + "\"late_value\":0.5,\"by_arrival\":" + effect.equals("fragile") + "}";
+    }
+
+    private static String job(int n) {
+        return String.format("%016x", n);
+    }
+
+    private static String page(String header, String rows) {
+        byte[] bytes = rows.getBytes(StandardCharsets.UTF_8);
+        return "HTTP/1.1 200 OK\r\n" + header + "\r\nContent-Length: " + bytes.length + "\r\n\r\n" + rows;
+    }
+
+    private static byte[] record(int id, int port, int state) {
+        return ByteBuffer.allocate(27).putInt(id).put(new byte[] {127, 0, 0, 1}).putShort((short) port)
+                .put((byte) state).put((byte) 0).put((byte) 0).putShort((short) 0).putInt(1000).putLong(0).array();
+    }
+
+    // ---- Stand-ins.
+    /** A call or an answer. */
+    private static final class Message {
+        String what = "";
+        int status;
+        final Map<String, String> headers = new HashMap<>();
+        String body = "";
+
+        static Message read(InputStream in) throws IOException {
+            Message m = new Message();
+            m.what = line(in);
+            if (m.what.startsWith("HTTP/")) {
+                m.status = Integer.parseInt(m.what.split(" ")[1]);
+            } else {
+                m.what = m.what.replace(" HTTP/1.1", "");
+            }
+            for (String header = line(in); !header.isEmpty(); header = line(in)) {
+                String[] parts = header.split(":", 2);
+                m.headers.put(parts[0].toLowerCase(Locale.ROOT), parts[1].trim());
+            }
+            int length = Integer.parseInt(m.headers.getOrDefault("content-length", "0"));
+            m.body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
+            return m;
+        }
+
+        private static String line(InputStream in) throws IOException {
+            ByteArrayOutputStream line = new ByteArrayOutputStream();
+            for (int b = in.read(); b != '\n'; b = in.read()) {
+                if (b < 0) {
+                    throw new IOException("ended");
+                }
+                line.write(b);
+            }
+            return line.toString(StandardCharsets.ISO_8859_1).trim();
+        }
+
+        String poll() {
+            assertThat(body).startsWith("{\"poll\":\"");
+            return body.substring(9, body.length() - 2);
+        }
+    }
+
+    private final class Client implements AutoCloseable {
+        private final Socket socket = new Socket();
+
+        Client() throws IOException {
+            socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+        }
+
+        void write(String what, String fields, String body) throws IOException {
+            byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+            String length = fields.contains("Content-Length") ? "" : "Content-Length: " + bytes.length + "\r\n";
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            all.writeBytes((what + " HTTP/1.1\r\nHost: h\r\n" + fields + length + "\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            all.writeBytes(bytes);
+            socket.getOutputStream().write(all.toByteArray());
+        }
+
+        Message read() throws IOException {
+            return Message.read(socket.getInputStream());
+        }
+
+        Message call(String what, String fields, String body) throws IOException {
+            write(what, fields, body);
+            return read();
+        }
+
+        String fields(String group, int allow) {
+            return "X-Job-Id: " + job(++jobs) + "\r\nX-Allow-Ms: " + allow + "\r\nX-Team: t\r\n";
+        }
+
+        Message post(String group, String more, String statement, int allow) throws IOException {
+            return call("POST /ops/" + group, fields(group, allow) + more, statement);
+        }
+
+        /** The last answer, as a client that is given a path gets it. */
+        Message follow(Message answer) throws IOException {
+            Message last = answer;
+            while (last.body.startsWith("{\"poll\"")) {
+                last = call("GET " + last.poll(), "", "");
+            }
+            return last;
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    private final class StandInEngine implements AutoCloseable {
+        final BlockingQueue<Message> seen = new LinkedBlockingQueue<>();
+        volatile Function<Message, String> script = seen -> OK;
+        private final List<Socket> sockets = new ArrayList<>();
+        private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+
+        StandInEngine() throws IOException {
+            opened.add(this);
+            daemon(() -> {
+                while (true) {
+                    Socket s = server.accept();
+                    sockets.add(s);
+                    daemon(() -> serve(s));
+                }
+            });
+        }
+
+        int port() {
+            return server.getLocalPort();
+        }
+
+        private void serve(Socket s) throws IOException {
+            while (true) {
+                Message m = Message.read(s.getInputStream());
+                seen.add(m);
+                String answer = script.apply(m);
+                if (answer.equals(RESET)) {
+                    s.setSoLinger(true, 0);
+                    s.close();
+                } else if (!answer.equals(SILENCE)) {
+                    if (answer.equals(NOTHING_NEW)) {
+                        pause();
+                    }
+                    s.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
+                }
+            }
+        }
+
+        /** As engines hold a call for news, though less long. */
+        private void pause() {
+            try {
+                Thread.sleep(20);
+            } catch (InterruptedException fault) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
+        Message next(String start) throws InterruptedException {
+            Message m = seen.take();
+            while (!m.what.startsWith(start)) {
+                m = seen.take();
+            }
+            return m;
+        }
+
+        /** Sends batches until one comes here. */
+        void awaitUse(ServeIT story) throws Exception {
+            while (seen.isEmpty()) {
+                try (Client c = story.new Client()) {
+                    c.follow(c.post("lookup", "", "SELECT 1", 5000));
+                }
+            }
+        }
+
+        @Override
+        public void close() {
+            quietly(server);
+            sockets.forEach(ServeIT::quietly);
+        }
+    }
+
+    private final class StandInCoordinator implements AutoCloseable {
+        final BlockingQueue<Long> asked = new LinkedBlockingQueue<>();
+        private final List<byte[]> events = new ArrayList<>();
+        private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        private Socket last;
+
+        StandInCoordinator() throws IOException {
+            opened.add(this);
+            daemon(() -> {
+                while (true) {
+                    Socket s = server.accept();
+                    long from = new DataInputStream(s.getInputStream()).readLong();
+                    synchronized (this) {
+                        last = s;
+                        for (int i = Math.max(0, (int) from - 1); i < events.size(); i++) {
+                            s.getOutputStream().write(events.get(i));
+                        }
+                    }
+                    asked.add(from);
+                }
+            });
+        }
+
+        int port() {
+            return server.getLocalPort();
+        }
+
+        synchronized void tell(long number, byte[] record) {
+            try {
+                ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+                DataOutputStream frame = new DataOutputStream(bytes);
+                frame.writeInt(9 + record.length);
+                frame.writeLong(number);
+                frame.writeByte(2);
+                frame.write(record);
+                events.add(bytes.toByteArray());
+                if (last != null) {
+                    last.getOutputStream().write(bytes.toByteArray());
+                }
+            } catch (IOException fault) {
+                throw new IllegalStateException(fault);
+            }
+        }
+
+        synchronized void breakOff() throws IOException {
+            last.close();
+            last = null;
+        }
+
+        @Override
+        public void close() {
+            quietly(server);
+        }
+    }
+
+    private interface Task {
+        void run() throws Exception;
+    }
+
+    private static void daemon(Task task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (Exception ended) {
+                // Its socket was closed.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static void quietly(AutoCloseable each) {
+        try {
+            each.close();
+        } catch (Exception fault) {
+            // Closed already.
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/firstage/net/list/FramesTest.java
@@ -0,0 +1,37 @@
+package firstage.net.list;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class FramesTest {
+    @Test
+    void framesCutAnywhereComeWhole() throws IOException {
+        byte[] bytes = ByteBuffer.allocate(13 + 15).putInt(9).putLong(0).put((byte) 0)
+                .putInt(11).putLong(-2).put((byte) 2).putShort((short) 770).array();
+        for (int size = 1; size <= bytes.length; size++) {
+            Frames frames = new Frames();
+            List<Frames.Frame> whole = new ArrayList<>();
+            for (int at = 0; at < bytes.length; at += size) {
+                whole.addAll(frames.take(ByteBuffer.wrap(bytes, at, Math.min(size, bytes.length - at))));
+            }
+            assertThat(whole).hasSize(2);
+            assertThat(whole.get(1).number()).isEqualTo(-2);
+            assertThat(whole.get(1).kind()).isEqualTo(2);
+            assertThat(whole.get(1).payload().getShort()).isEqualTo((short) 770);
+        }
+    }
+
+    @Test
+    void aFrameOfNoUsableLengthIsAFault() {
+        for (int length : new int[] {0, 8, -1, Integer.MAX_VALUE}) {
+            assertThatThrownBy(() -> new Frames().take(ByteBuffer.allocate(64).putInt(0, length)))
+                    .isInstanceOf(IOException.class);
+        }
+    }
+}
