--- a/src/main/java/firstage/app/Main.java
+++ b/src/main/java/firstage/app/Main.java
@@ -20,8 +20,10 @@
             new BenchLink(System.in, System.out, System.err).run();
         } else if (args.length == 1 && args[0].equals("serve")) {
             serve(System.getenv(ASSIGNMENT));
+        } else if (args.length == 1 && args[0].equals("rehearse")) {
+            Rehearsal.run();
         } else {
-            end("usage: java -jar firstage.jar benchlink | serve");
+            end("usage: java -jar firstage.jar benchlink | serve | rehearse");
         }
     }
 
--- a/src/main/java/firstage/benchlink/Seat.java
+++ b/src/main/java/firstage/benchlink/Seat.java
@@ -41,7 +41,7 @@
         switch (event) {
             case "INBOUND" -> manager.taken(now, new Arrival(batches.of(f.need("request_id")),
                     (int) f.needWhole("tier_class"), f.index("org", 0),
-                    f.has("table") ? keys.of(f.need("table")) : -1, 
+                    f.has("table") ? keys.of(f.need("table")) : -1,
                     Fields.tenths(f.needNumber("not_after")), f.time("plan_cost"), (int) f.number("mem_mb", 0),
                     f.index("tables", -1), f.flag("retry")));
             case "SETTLED" -> settled(now, f);
@@ -79,7 +79,7 @@
             return;
         }
         long stats = f.whole("stats", 0);
-        manager.ended(now, new Ending(batch, f.index("attempt", 0), 
+        manager.ended(now, new Ending(batch, f.index("attempt", 0),
                 engines.of(f.needWhole("engine")), outcome(f), f.time("delay_seen"), (stats >> 12) * 10,
                 (int) (stats & 4095) * 4, f.flag("terminal"), report(f)));
     }
--- a/src/main/java/firstage/door/Deployment.java
+++ b/src/main/java/firstage/door/Deployment.java
@@ -8,8 +8,9 @@
  * {@code probePrice} is in shares of a mean batch's utility, below 0 where engines may not be probed.
  */
 public record Deployment(long seed, int managers, int rank, int zone, List<ServiceGroup> groups,
-                         List<Machine> machines, List<Double> customerRates, Allowed allowed, Rules rules, double largestGrant,
-                         long notePace, boolean asksForList, boolean crossingCosts, double probePrice) {
+                         List<Machine> machines, List<Double> customerRates, Allowed allowed, Rules rules,
+                         double largestGrant, long notePace, boolean asksForList, boolean crossingCosts,
+                         double probePrice) {
     public record Machine(int cores, double memoryMb) {
     }
 
--- a/src/main/java/firstage/net/clients/PendingCall.java
+++ b/src/main/java/firstage/net/clients/PendingCall.java
@@ -5,9 +5,11 @@
 import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
@@ -35,8 +37,8 @@
     private final ClientDoor door;
     private final String path;
     private Exchange batch;
-    /** The call that is held, if there is one. */
-    private HttpServerExchange held;
+    /** The calls that are held: one, but where a client lost a connection and calls on another. */
+    private final List<Held> held = new ArrayList<>();
     private Answer answer;
     private boolean given;
     /** When nothing happens until then: the path is given, or the client taken as gone. */
@@ -53,7 +55,7 @@
 
     void start(Exchange started, HttpServerExchange first) {
         batch = started;
-        hold(first);
+        held.add(new Held(first));
         after(FIRST_HELD_MS, this::givePath);
     }
 
@@ -65,22 +67,19 @@
     }
 
     private void givePath() {
-        if (held != null && answer == null) {
-            HttpServerExchange x = release();
+        if (!held.isEmpty() && answer == null) {
+            HttpServerExchange x = held.get(0).release();
             door.send(x, ByteBuffer.wrap(("{\"poll\":\"" + path + "\"}").getBytes(StandardCharsets.US_ASCII)));
             after(AGAIN_MS, this::gone);
         }
     }
 
-    /** The client asks at the path. */
+    /**
+     * The client asks at the path. Where an earlier call is still held, the client gave its connection up, but
+     * which of the two is the later one can't be told by when they come in: both are held, and both answered.
+     */
     void asked(HttpServerExchange x) {
-        if (held != null) {
-            // It calls on a new connection: it knows the old one to be broken before this side does.
-            HttpServerExchange old = release();
-            IoUtils.safeClose(old.getConnection());
-            old.endExchange();
-        }
-        hold(x);
+        held.add(new Held(x));
         if (answer != null) {
             give();
         } else if (timer != null) {
@@ -94,60 +93,67 @@
         gone();
     }
 
-    private void hold(HttpServerExchange x) {
-        held = x;
-        AbstractServerConnection connection = (AbstractServerConnection) x.getConnection();
-        connection.getChannel().getSourceChannel().setReadListener(this::readable);
-        connection.getOriginalSourceConduit().resumeReads();
-    }
+    /** A call that waits, and its connection that is read meanwhile. */
+    private final class Held {
+        private final HttpServerExchange x;
+        private final AbstractServerConnection connection;
 
-    private HttpServerExchange release() {
-        HttpServerExchange x = held;
-        held = null;
-        AbstractServerConnection connection = (AbstractServerConnection) x.getConnection();
-        connection.getOriginalSourceConduit().suspendReads();
-        connection.getChannel().getSourceChannel().setReadListener(null);
-        return x;
-    }
+        Held(HttpServerExchange x) {
+            this.x = x;
+            connection = (AbstractServerConnection) x.getConnection();
+            connection.getChannel().getSourceChannel().setReadListener(this::readable);
+            connection.getOriginalSourceConduit().resumeReads();
+        }
 
-    private void readable(ConduitStreamSourceChannel source) {
-        if (held == null) {
-            source.suspendReads();
-            return;
+        /** It is held no more. */
+        HttpServerExchange release() {
+            held.remove(this);
+            connection.getOriginalSourceConduit().suspendReads();
+            connection.getChannel().getSourceChannel().setReadListener(null);
+            return x;
         }
-        AbstractServerConnection connection = (AbstractServerConnection) held.getConnection();
-        PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
-        boolean kept = false;
-        try {
-            int n = connection.getOriginalSourceConduit().read(pooled.getBuffer());
-            if (n < 0) {
-                broken();
-            } else if (n > 0) {
-                // The next call, early: it waits for its turn, and a close goes unnoticed from here on.
-                pooled.getBuffer().flip();
-                connection.setExtraBytes(pooled);
-                kept = true;
-                connection.getOriginalSourceConduit().suspendReads();
-            }
-        } catch (IOException fault) {
-            broken();
-        } finally {
-            if (!kept) {
-                pooled.close();
+
+        void close() {
+            release();
+            IoUtils.safeClose(connection);
+            x.endExchange();
+        }
+
+        boolean atPath() {
+            return !x.getRequestMethod().equals(Methods.POST);
+        }
+
+        private void readable(ConduitStreamSourceChannel source) {
+            PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
+            boolean kept = false;
+            try {
+                int n = connection.getOriginalSourceConduit().read(pooled.getBuffer());
+                if (n < 0) {
+                    broken(this);
+                } else if (n > 0) {
+                    // The next call, early: it waits for its turn, and a close goes unnoticed from here on.
+                    pooled.getBuffer().flip();
+                    connection.setExtraBytes(pooled);
+                    kept = true;
+                    connection.getOriginalSourceConduit().suspendReads();
+                }
+            } catch (IOException fault) {
+                broken(this);
+            } finally {
+                if (!kept) {
+                    pooled.close();
+                }
             }
         }
     }
 
-    private void broken() {
-        boolean hasPath = !held.getRequestMethod().equals(io.undertow.util.Methods.POST);
-        HttpServerExchange x = release();
-        IoUtils.safeClose(x.getConnection());
-        x.endExchange();
-        if (hasPath) {
+    private void broken(Held call) {
+        call.close();
+        if (!call.atPath()) {
+            gone();
+        } else if (held.isEmpty()) {
             door.counters.count("held calls broken");
             after(AGAIN_MS, this::gone);
-        } else {
-            gone();
         }
     }
 
@@ -156,11 +162,7 @@
         if (timer != null) {
             timer.remove();
         }
-        if (held != null) {
-            HttpServerExchange x = release();
-            IoUtils.safeClose(x.getConnection());
-            x.endExchange();
-        }
+        List.copyOf(held).forEach(Held::close);
         door.over(this, given);
         if (answer == null) {
             answer = new Answer(500, 0, ByteBuffer.wrap(FAILED));
@@ -185,26 +187,28 @@
 
     private void answer(Answer all) {
         answer = all;
-        if (held != null) {
+        if (!held.isEmpty()) {
             give();
         }
     }
 
-    /** Gives the answer to the call that is held, and keeps it for one that is made again. */
+    /** Gives the answer to what is held, and keeps it for a call that is made again. */
     private void give() {
-        HttpServerExchange x = release();
-        boolean hasPath = !x.getRequestMethod().equals(io.undertow.util.Methods.POST);
         if (!given) {
             given = true;
             door.given();
         }
-        if (answer.comeBack() > 0) {
-            x.getResponseHeaders().put(WAIT, answer.comeBack() / 10);
+        boolean atPath = held.stream().allMatch(Held::atPath);
+        for (Held call : List.copyOf(held)) {
+            HttpServerExchange x = call.release();
+            if (answer.comeBack() > 0) {
+                x.getResponseHeaders().put(WAIT, answer.comeBack() / 10);
+            }
+            x.setStatusCode(answer.status());
+            x.setPersistent(x.isPersistent() && !door.closing());
+            door.send(x, answer.body().duplicate());
         }
-        x.setStatusCode(answer.status());
-        x.setPersistent(x.isPersistent() && !door.closing());
-        door.send(x, answer.body().duplicate());
-        if (hasPath) {
+        if (atPath) {
             after(AGAIN_MS, this::gone);
         } else {
             timer.remove();
--- a/src/main/java/firstage/setup/Setup.java
+++ b/src/main/java/firstage/setup/Setup.java
@@ -54,7 +54,8 @@
                 f.index("rank", 0), f.index("zone", 0), groups, machines, rates, allowed, rules,
                 f.number("family_info.largest_share", 1), f.time("family_info.progress_pace"),
                 f.text("discovery", "").equals("subscribe"),
-                f.number("deductions.cross_zone", 0) > 0, f.flag("limits.probing") ? f.number("deductions.probe", 0) : -1);
+                f.number("deductions.cross_zone", 0) > 0,
+                f.flag("limits.probing") ? f.number("deductions.probe", 0) : -1);
     }
 
     private static ServiceGroup.Effect effect(String word) {
--- a/src/test/java/firstage/FakeHost.java
+++ b/src/test/java/firstage/FakeHost.java
@@ -51,7 +51,8 @@
                 group(3 * SECOND, 20 * SECOND, 3, 0.3, Effect.REPEATABLE, false, 2, Set.of()),
                 group(3 * SECOND, 25 * SECOND, 8, 0.5, loadEffect, true, 2, Set.of()));
         brain = new Brain(new Deployment(seed, managers, rank, 0, groups,
-                List.of(new Deployment.Machine(8, memoryMb)), rates.stream().map(r -> r / SECOND).toList(), new Deployment.Allowed(callOff, secondCopies, true, true, true, 4, 2 * SECOND),
+                List.of(new Deployment.Machine(8, memoryMb)), rates.stream().map(r -> r / SECOND).toList(),
+                new Deployment.Allowed(callOff, secondCopies, true, true, true, 4, 2 * SECOND),
                 new Deployment.Rules(0.3, 10 * SECOND, 2, 2 * SECOND, SECOND / 2, furtherRatio, 1, 10 * SECOND),
                 0.5, notePace, false, false, probePrice), this);
         List<Entry> entries = new ArrayList<>();
--- a/src/test/java/firstage/net/ServeIT.java
+++ b/src/test/java/firstage/net/ServeIT.java
@@ -126,11 +126,14 @@
             path = c.post("report", "", "SELECT 1", 9000).poll();
             c.write("GET " + path, "", "");
         }
-        one.script = seen -> OK;
-        for (int again = 0; again < 2; again++) {
-            try (Client c = new Client()) {
-                assertThat(c.call("GET " + path, "", "").body).isEqualTo("{\"page\":[[\"a\",\"b\"]]}");
-            }
+        try (Client stale = new Client(); Client c = new Client()) {
+            c.write("GET " + path, "", "");
+            stale.write("GET " + path, "", "");
+            one.script = seen -> OK;
+            assertThat(c.read().body).isEqualTo("{\"page\":[[\"a\",\"b\"]]}");
+        }
+        try (Client c = new Client()) {
+            assertThat(c.call("GET " + path, "", "").body).isEqualTo("{\"page\":[[\"a\",\"b\"]]}");
         }
     }
 
