Faults of either side end where they are: stalled statements, long heads, drains under a connect

Seen with a probe that writes raw bytes: a chunked statement beyond the bound ended in an exception (Undertow had closed the exchange before the handler heard of it), a head beyond it got a bare 400, a client that stopped within a statement kept its connection. Now 413, 431, and closed after 5 s. What is no HTTP at all still gets Undertow's bare 400: its parser answers before any handler is asked. Also: an engine that begins to drain while the connection to it comes up gets nothing; a batch that the decisions lost by a fault is errored 35 ms after its limit; what must hold is checked at the end; the first asking after a broken one goes at once.

--- a/src/main/java/firstage/net/Counters.java
+++ b/src/main/java/firstage/net/Counters.java
@@ -1,5 +1,6 @@
 package firstage.net;
 
+import java.util.Arrays;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -15,6 +16,10 @@
         counts.merge(name, amount, Long::sum);
     }
 
+    public long sum(String... names) {
+        return Arrays.stream(names).mapToLong(name -> counts.getOrDefault(name, 0L)).sum();
+    }
+
     /** Keeps the largest value seen. */
     public void peak(String name, long value) {
         counts.merge(name, value, Math::max);
--- a/src/main/java/firstage/net/Exchange.java
+++ b/src/main/java/firstage/net/Exchange.java
@@ -1,7 +1,9 @@
 package firstage.net;
 
+import firstage.door.Outcome;
 import java.util.ArrayList;
 import java.util.List;
+import org.xnio.XnioExecutor;
 
 /**
  * One batch between its client and the engines: all that the two sides know of each other. What goes on
@@ -26,7 +28,7 @@
         void priority(int priority);
 
         /** Ends it with this outcome, once the engine was told or can't be. */
-        void giveUp(firstage.door.Outcome how);
+        void giveUp(Outcome how);
     }
 
     public final String id;
@@ -37,6 +39,8 @@
     public final List<Dispatch> out = new ArrayList<>();
     /** Its index, and that of its key, as the decisions know them. */
     public int batch = -1;
+    /** Rings when the client's time is up. */
+    public XnioExecutor.Key timeUp;
     public int dispatches;
     public int grantMb;
     public int priority = 1;
--- a/src/main/java/firstage/net/Node.java
+++ b/src/main/java/firstage/net/Node.java
@@ -35,6 +35,10 @@
     /** After a SIGTERM the front goes on sending for at most 0.6 s. */
     private static final long STILL_SENT_MS = 700;
     private static final long SWEEP_MS = 1_000;
+    /** After a client's time is up; its answer must be there 50 ms after it. */
+    private static final long OVERDUE_MS = 35;
+    /** Dispatches that are given up end within this. */
+    private static final long LAST_MS = 50;
     private final Assignment assignment;
     private final Clock clock = new Clock();
     private final Counters counters = new Counters();
@@ -47,7 +51,9 @@
     private final Indices<Exchange> batches = new Indices<>();
     private final Indices<String> keys = new Indices<>();
     private final Indices<Long> ids = new Indices<>();
+    /** Batches without an answer, and dispatches that are out. */
     private int open;
+    private int out;
     private boolean turnDue;
     private boolean closing;
     private boolean stillSent;
@@ -88,22 +94,41 @@
         });
     }
 
+    private boolean idle() {
+        return open == 0 && door.idle();
+    }
+
     private void endIfIdle() {
-        if (closing && !stillSent && open == 0 && door.idle()) {
+        if (closing && !stillSent && idle()) {
             closing = false;
-            counters.hold(batches.inUse() == 0, "no batch is left at the end");
-            follower.close();
-            engines.close();
-            System.err.println("end: " + counters);
-            // Not on this thread: the exit waits for hooks, and sockets still flush here.
-            new Thread(() -> System.exit(0), "exit").start();
+            later(LAST_MS, this::end);
+        }
+    }
+
+    private void end() {
+        if (!idle()) {
+            closing = true;
+            return;
         }
+        follower.close();
+        engines.close();
+        counters.hold(batches.inUse() == 0, "no batch is left at the end");
+        counters.hold(out == 0, "no dispatch is out at the end");
+        counters.hold(counters.sum("batches taken") == counters.sum("batches returned", "batches pushed back",
+                "batches errored", "batches overdue", "batches left by their clients"), "each batch ends once");
+        System.err.println("end: " + counters);
+        // Not on this thread: the exit waits for hooks, and sockets still flush here.
+        new Thread(() -> System.exit(0), "exit").start();
     }
 
     private void sweep() {
+        long due = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SWEEP_MS);
         engines.sweep();
         endIfIdle();
-        later(SWEEP_MS, this::sweep);
+        later(SWEEP_MS, () -> {
+            counters.peak("latest on the I/O thread, us", (System.nanoTime() - due) / 1_000);
+            sweep();
+        });
     }
 
     private XnioExecutor.Key later(long ms, Runnable task) {
@@ -150,7 +175,7 @@
         open++;
         x.batch = batches.of(x);
         long now = clock.now();
-        later(Math.max(0, (x.notAfter - now) / 10), () -> timeUp(x));
+        x.timeUp = later(Math.max(0, (x.notAfter - now) / 10), () -> timeUp(x));
         tell("taken", () -> manager.taken(now, new Arrival(x.batch, group, customer,
                 key == null ? -1 : keys.of(key), x.notAfter, estimate, memoryMb, tables, false)));
     }
@@ -159,6 +184,13 @@
         for (Exchange.Dispatch d : List.copyOf(x.out)) {
             d.giveUp(Outcome.TIMED_OUT);
         }
+        // A fault in the decisions must not leave a client without its answer.
+        later(OVERDUE_MS, () -> {
+            if (x.errored()) {
+                over("batches overdue");
+                tell("overdue", () -> manager.clientLeft(clock.now(), x.batch));
+            }
+        });
     }
 
     @Override
@@ -191,6 +223,7 @@
     @Override
     public void ended(Exchange x, Exchange.Dispatch d, Outcome how, long took, Report report, List<byte[]> pages) {
         counters.hold(x.out.remove(d), "a dispatch ends once");
+        out--;
         counters.count("dispatches " + how);
         if (how == Outcome.RETURNED && x.returned(pages)) {
             over("batches returned");
@@ -235,6 +268,7 @@
     public void dispatch(int batch, int engine, long within) {
         Exchange x = batches.id(batch);
         counters.count("dispatches out");
+        out++;
         Exchange.Dispatch d = engines.dispatch(x, x.dispatches++, engine);
         x.out.add(d);
         if (within > 0) {
@@ -271,7 +305,9 @@
 
     @Override
     public void forgetBatch(int batch) {
-        counters.hold(batches.id(batch).over(), "a batch that is forgotten has its answer");
+        Exchange x = batches.id(batch);
+        counters.hold(x.over() && x.out.isEmpty(), "a batch that is forgotten has its answer and nothing out");
+        x.timeUp.remove();
         batches.release(batch);
     }
 
--- a/src/main/java/firstage/net/clients/ClientDoor.java
+++ b/src/main/java/firstage/net/clients/ClientDoor.java
@@ -8,9 +8,12 @@
 import firstage.setup.Fields;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
+import io.undertow.io.Receiver;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.HttpContinueReadHandler;
 import io.undertow.server.protocol.http.HttpOpenListener;
+import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
@@ -23,11 +26,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
@@ -35,6 +40,7 @@
 /** Where clients come in: reads their calls, answers what can't be used, hands on the rest. */
 public final class ClientDoor {
     private static final int MOST_STATEMENT = 64 * 1024;
+    /** Answered 431; beyond four times that Undertow closes with a bare 400, as it does where a head is no HTTP. */
     private static final int MOST_HEAD = 16 * 1024;
     private static final int BACKLOG = 512;
     /** Clients close their idle connections after 4 s; what is silent for longer is nobody's. */
@@ -81,13 +87,12 @@
     public void listen(XnioWorker worker) throws IOException {
         ByteBufferPool buffers = new DefaultByteBufferPool(true, 16 * 1024, 256, 0);
         http = new HttpOpenListener(buffers, OptionMap.builder()
-                .set(UndertowOptions.MAX_ENTITY_SIZE, (long) MOST_STATEMENT)
-                .set(UndertowOptions.MAX_HEADER_SIZE, MOST_HEAD)
+                .set(UndertowOptions.MAX_HEADER_SIZE, 4 * MOST_HEAD)
                 .set(UndertowOptions.NO_REQUEST_TIMEOUT, MOST_IDLE_MS)
                 .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, MOST_PARSE_MS)
                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false).getMap());
-        http.setRootHandler(this::call);
+        http.setRootHandler(new HttpContinueReadHandler(this::call));
         server = worker.createStreamConnectionServer(address, ChannelListeners.openListenerAdapter(http),
                 OptionMap.builder().set(Options.REUSE_ADDRESSES, true).set(Options.BACKLOG, BACKLOG)
                         .set(Options.TCP_NODELAY, true).getMap());
@@ -120,7 +125,21 @@
         return closing;
     }
 
+    private static int headSize(HttpServerExchange x) {
+        int size = x.getRequestURI().length();
+        for (HeaderValues values : x.getRequestHeaders()) {
+            for (String value : values) {
+                size += values.getHeaderName().length() + value.length();
+            }
+        }
+        return size;
+    }
+
     private void call(HttpServerExchange x) {
+        if (headSize(x) > MOST_HEAD) {
+            refuse(x, 431, "head too long");
+            return;
+        }
         String path = x.getRequestPath();
         if (path.equals("/alive")) {
             if (x.getRequestMethod().equals(Methods.GET)) {
@@ -143,11 +162,20 @@
         } else if (x.getRequestContentLength() > MOST_STATEMENT) {
             refuse(x, 413, "statement too long");
         } else {
+            // A client that stops within a statement would hold its connection for ever.
+            XnioExecutor.Key late = io.executeAfter(() -> IoUtils.safeClose(x.getConnection()), MOST_PARSE_MS,
+                    TimeUnit.MILLISECONDS);
+            x.getRequestReceiver().setMaxBufferSize(MOST_STATEMENT);
             x.getRequestReceiver().receiveFullBytes(
-                    (whole, bytes) -> whole.dispatch(SameThreadExecutor.INSTANCE, () -> take(whole, group, bytes)),
+                    (whole, bytes) -> {
+                        late.remove();
+                        whole.dispatch(SameThreadExecutor.INSTANCE, () -> take(whole, group, bytes));
+                    },
                     (broken, fault) -> {
+                        late.remove();
                         counters.count("calls not whole");
-                        if (fault instanceof io.undertow.server.RequestTooBigException) {
+                        if (fault instanceof Receiver.RequestToLargeException) {
+                            broken.setPersistent(false);
                             refuse(broken, 413, "statement too long");
                         } else {
                             IoUtils.safeClose(broken.getConnection());
@@ -199,7 +227,7 @@
         int customer = team == null ? customers.isEmpty() ? 0 : -1 : customers.indexOf(team);
         if (groups.indexOf(group) < 0) {
             refuse(x, 400, "unknown class");
-        } else if (id == null || !id.matches("[0-9a-f]{16}")) {
+        } else if (id == null || !id.matches("[0-9a-fA-F]{16}")) {
             refuse(x, 400, "X-Job-Id is missing or not usable");
         } else if (!(allow > 0 && allow < 1e9)) {
             refuse(x, 400, "X-Allow-Ms is missing or not usable");
--- a/src/main/java/firstage/net/engines/Call.java
+++ b/src/main/java/firstage/net/engines/Call.java
@@ -5,8 +5,8 @@
 
 /** One call to an engine and what becomes of it: exactly one of the two is called, once. */
 abstract class Call {
-    /** REFUSED, UNREACHED and NO_ROOM: nothing was sent. BROKEN, SILENT and MALFORMED prove nothing. */
-    enum Failure { REFUSED, UNREACHED, NO_ROOM, BROKEN, SILENT, MALFORMED }
+    /** REFUSED, UNREACHED, NO_ROOM, UNWANTED: nothing was sent. BROKEN, SILENT and MALFORMED prove nothing. */
+    enum Failure { REFUSED, UNREACHED, NO_ROOM, UNWANTED, BROKEN, SILENT, MALFORMED }
 
     final String what;
     final byte[] body;
@@ -28,7 +28,7 @@
         return "";
     }
 
-    /** Whether it is to be written at all, asked when its connection is up; what is not is forgotten. */
+    /** Whether it is to be written at all, asked when its connection is up; what is not fails as unwanted. */
     boolean wanted() {
         return true;
     }
--- a/src/main/java/firstage/net/engines/Engines.java
+++ b/src/main/java/firstage/net/engines/Engines.java
@@ -65,9 +65,13 @@
             links.add(null);
         }
         Link link = links.get(index);
+        if (e.standing() != Standing.ACTIVE && link != null) {
+            link.leaving();
+        }
         if (e.standing() == Standing.LEFT && link != null) {
             link.close();
-        } else if (link == null || link.closed() || !link.address.equals(e.address())) {
+        } else if (link == null || link.closed() || link.isLeaving() && e.standing() == Standing.ACTIVE
+                || !link.address.equals(e.address())) {
             if (link != null) {
                 link.close();
             }
--- a/src/main/java/firstage/net/engines/Link.java
+++ b/src/main/java/firstage/net/engines/Link.java
@@ -23,6 +23,7 @@
     /** The one that was used last is used next: the others age and are closed. */
     private final ArrayDeque<Connection> idle = new ArrayDeque<>();
     private final Set<Connection> all = new HashSet<>();
+    private boolean leaving;
     private boolean closed;
 
     Link(Engines engines, Clock clock, InetSocketAddress address) {
@@ -72,6 +73,7 @@
                 c.send(call, host);
             } else {
                 idle(c);
+                call.failed(Call.Failure.UNWANTED);
             }
         } catch (IOException fault) {
             engines.freeSlot();
@@ -105,6 +107,15 @@
         }
     }
 
+    /** Nothing new is to be started there; what runs is asked for still. */
+    void leaving() {
+        leaving = true;
+    }
+
+    boolean isLeaving() {
+        return leaving;
+    }
+
     boolean closed() {
         return closed;
     }
--- a/src/main/java/firstage/net/engines/Run.java
+++ b/src/main/java/firstage/net/engines/Run.java
@@ -2,6 +2,7 @@
 
 import firstage.door.Note;
 import firstage.door.Outcome;
+import firstage.door.Report;
 import firstage.net.Exchange;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -15,6 +16,8 @@
 final class Run implements Exchange.Dispatch {
     /** Engines answer within 250 ms; twice that without a word, and another connection is tried. */
     private static final long NEWS_MS = 600;
+    /** Some five times what a result may hold. */
+    private static final int MOST_RESULT = 256 * 1024;
     /** Between askings that fail at once. */
     private static final long PAUSE_MS = 50;
     /** The client's answer may wait so long for an engine to hear that a query is given up. */
@@ -27,12 +30,14 @@
     private final long sent;
     private final List<byte[]> pages = new ArrayList<>();
     private int pageCount;
+    private int size;
     private long took;
+    private int failures;
     private boolean started;
     private boolean givenUp;
     private boolean over;
     private int priority;
-    private firstage.door.Report report;
+    private Report report;
 
     Run(Engines engines, Link link, Exchange x, int number, int engine) {
         this.engines = engines;
@@ -63,7 +68,8 @@
         link.call(new Call("POST /x", x.statement, NEWS_MS) {
             @Override
             boolean wanted() {
-                return !givenUp;
+                // An engine may begin to drain while the connection to it comes up.
+                return !givenUp && !link.isLeaving();
             }
 
             @Override
@@ -84,7 +90,7 @@
             void failed(Failure f) {
                 switch (f) {
                     case REFUSED, UNREACHED -> end(Outcome.NO_CONNECTION);
-                    case NO_ROOM -> end(Outcome.NOT_SENT);
+                    case NO_ROOM, UNWANTED -> end(Outcome.NOT_SENT);
                     case MALFORMED -> end(Outcome.ERRORED);
                     default -> ask(true);
                 }
@@ -116,7 +122,9 @@
         } else if (f == Call.Failure.MALFORMED) {
             end(Outcome.ERRORED);
         } else {
-            engines.io.executeAfter(asking, PAUSE_MS, TimeUnit.MILLISECONDS);
+            // The first time at once: a process that died resets its connections, and refuses the next.
+            long pause = failures++ == 0 ? 0 : PAUSE_MS;
+            engines.io.executeAfter(asking, pause, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -124,6 +132,7 @@
         if (over || givenUp) {
             return;
         }
+        failures = 0;
         report = Engines.report(r) == null ? report : Engines.report(r);
         switch (r.status()) {
             case 202 -> {
@@ -155,7 +164,10 @@
 
     private void page(Response r) {
         pages.add(r.body());
-        if (pages.size() >= pageCount) {
+        size += r.body().length;
+        if (size > MOST_RESULT) {
+            end(Outcome.ERRORED);
+        } else if (pages.size() >= pageCount) {
             end(Outcome.RETURNED);
         } else {
             fetch(false);
--- a/src/main/java/firstage/net/list/Follower.java
+++ b/src/main/java/firstage/net/list/Follower.java
@@ -23,8 +23,8 @@
 /** Keeps a connection to the coordinator and tells what it hears; a connection that is mute is given up. */
 public final class Follower {
     private static final Logger LOG = Logger.getLogger(Follower.class.getName());
-    /** An empty frame follows each second: three missing, and the connection is dead. */
-    private static final long MUTE_MS = 3_000;
+    /** An empty frame follows each second: two missing, and another connection is tried. News is due in 7 s. */
+    private static final long MUTE_MS = 2_300;
     private static final long CONNECT_MS = 1_000;
     private static final long AGAIN_MS = 200;
     private final XnioIoThread io;
--- a/src/test/java/firstage/net/ServeIT.java
+++ b/src/test/java/firstage/net/ServeIT.java
@@ -248,22 +248,27 @@
 
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
-        "400 | POST /ops/nosuch    | X-Job-Id: 00000000000000aa,X-Allow-Ms: 500,X-Team: t",
-        "400 | POST /ops/lookup    | X-Allow-Ms: 500,X-Team: t",
-        "400 | POST /ops/lookup    | X-Job-Id: short,X-Allow-Ms: 500,X-Team: t",
-        "400 | POST /ops/lookup    | X-Job-Id: 00000000000000aa,X-Team: t",
-        "400 | POST /ops/lookup    | X-Job-Id: 00000000000000aa,X-Allow-Ms: soon,X-Team: t",
-        "400 | POST /ops/lookup    | X-Job-Id: 00000000000000aa,X-Allow-Ms: 500,X-Team: nobody",
-        "400 | POST /ops/lookup    | X-Job-Id: 00000000000000aa,X-Allow-Ms: 500,X-Team: t,X-Size-Ms: big",
-        "404 | GET /elsewhere      | X-Any: 1",
-        "404 | GET /news/0-00      | X-Any: 1",
-        "405 | GET /ops/lookup     | X-Any: 1",
-        "405 | POST /alive         | X-Any: 1",
-        "413 | POST /ops/lookup    | X-Job-Id: 00000000000000aa,X-Allow-Ms: 500,X-Team: t,Content-Length: 9999999",
+        "400 | POST /ops/nosuch    | X-Job-Id: 00000000000000aa,X-Allow-Ms: 500,X-Team: t|",
+        "400 | POST /ops/lookup    | X-Allow-Ms: 500,X-Team: t|",
+        "400 | POST /ops/lookup    | X-Job-Id: short,X-Allow-Ms: 500,X-Team: t|",
+        "400 | POST /ops/lookup    | X-Job-Id: 00000000000000aa,X-Team: t|",
+        "400 | POST /ops/lookup    | X-Job-Id: 00000000000000aa,X-Allow-Ms: soon,X-Team: t|",
+        "400 | POST /ops/lookup    | X-Job-Id: 00000000000000aa,X-Allow-Ms: 500,X-Team: nobody|",
+        "400 | POST /ops/lookup    | X-Job-Id: 00000000000000aa,X-Allow-Ms: 500,X-Team: t,X-Size-Ms: big|",
+        "404 | GET /elsewhere      | X-Any: 1|",
+        "404 | GET /news/0-00      | X-Any: 1|",
+        "405 | GET /ops/lookup     | X-Any: 1|",
+        "405 | POST /alive         | X-Any: 1|",
+        "431 | GET /alive          | X-Any: BIG|",
+        "413 | POST /ops/lookup    | Transfer-Encoding: chunked|CHUNKS",
+        "413 | POST /ops/lookup    | X-Job-Id: 00000000000000aa,X-Allow-Ms: 500,X-Team: t,Content-Length: 9999999|",
     })
-    void whatCannotBeUsedIsAnsweredAndNeverReachesAnEngine(int status, String what, String fields) throws Exception {
+    void whatCannotBeUsedIsAnsweredAndNeverReachesAnEngine(int status, String what, String fields, String body)
+            throws Exception {
+        String chunks = ("4000\r\n" + "a".repeat(0x4000) + "\r\n").repeat(5) + "0\r\n\r\n";
         try (Client c = new Client()) {
-            Message answer = c.call(what, fields.trim().replace(",", "\r\n") + "\r\n", "");
+            String head = fields.trim().replace(",", "\r\n").replace("BIG", "a".repeat(20_000)) + "\r\n";
+            Message answer = c.call(what, head, "CHUNKS".equals(body) ? chunks : "");
             assertThat(answer.status).isEqualTo(status);
             assertThat(answer.body).startsWith("{\"err\":").hasLineCount(1);
         }
@@ -375,7 +380,8 @@
 
         void write(String what, String fields, String body) throws IOException {
             byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-            String length = fields.contains("Content-Length") ? "" : "Content-Length: " + bytes.length + "\r\n";
+            boolean told = fields.matches("(?s).*(Content-Length|Transfer-).*");
+            String length = told ? "" : "Content-Length: " + bytes.length + "\r\n";
             ByteArrayOutputStream all = new ByteArrayOutputStream();
             all.writeBytes((what + " HTTP/1.1\r\nHost: h\r\n" + fields + length + "\r\n")
                     .getBytes(StandardCharsets.ISO_8859_1));
