--- a/src/main/java/firstage/net/Tidings.java
+++ b/src/main/java/firstage/net/Tidings.java
@@ -4,6 +4,7 @@
 import firstage.door.Note;
 import firstage.door.Outcome;
 import firstage.door.Report;
+import java.net.InetSocketAddress;
 import java.util.List;
 
 /** What the peers' packages tell the node. All calls come on the I/O thread. */
@@ -24,7 +25,7 @@
     void listed(EngineList.Kind kind, List<Listed> engines);
 
     /** An engine as the coordinator lists it: its id as a number and where it listens. */
-    record Listed(long id, java.net.InetSocketAddress address, int zone, int kind, int cell,
+    record Listed(long id, InetSocketAddress address, int zone, int kind, int cell,
                   EngineList.Standing standing, double weight, long since) {
     }
 }
--- a/src/test/java/firstage/net/ServeIT.java
+++ b/src/test/java/firstage/net/ServeIT.java
@@ -56,6 +56,10 @@
             port = free.getLocalPort();
         }
         program = launch(config());
+        awaitAlive();
+    }
+
+    private void awaitAlive() throws Exception {
         while (true) {
             try (Client c = new Client()) {
                 assertThat(c.call("GET /alive", "", "").status).isEqualTo(200);
@@ -227,6 +231,25 @@
         two.awaitUse(this);
         coordinator.breakOff();
         assertThat(coordinator.asked.take()).isEqualTo(3L);
+        coordinator.mute = true;
+        assertThat(coordinator.asked.take()).isEqualTo(3L);
+    }
+
+    @Test
+    void withoutDescriptorsToSpareBatchesAreStillAnswered() throws Exception {
+        program.destroyForcibly().waitFor();
+        program = launch(config().replace("\"sockets\":1024", "\"sockets\":99"));
+        awaitAlive();
+        one.script = seen -> seen.what.startsWith("GET") ? OK : NOTHING_NEW;
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            clients.add(new Client());
+            clients.get(i).write("POST /ops/lookup", clients.get(i).fields("lookup", 5000), "SELECT 1");
+        }
+        for (Client c : clients) {
+            assertThat(c.follow(c.read()).status).isIn(200, 503);
+            c.close();
+        }
     }
 
     @Test
@@ -497,9 +520,16 @@
         private final List<byte[]> events = new ArrayList<>();
         private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         private Socket last;
+        private volatile boolean mute;
 
         StandInCoordinator() throws IOException {
             opened.add(this);
+            daemon(() -> {
+                while (true) {
+                    Thread.sleep(500);
+                    beat();
+                }
+            });
             daemon(() -> {
                 while (true) {
                     Socket s = server.accept();
@@ -519,6 +549,16 @@
             return server.getLocalPort();
         }
 
+        private synchronized void beat() {
+            try {
+                if (last != null && !mute) {
+                    last.getOutputStream().write(ByteBuffer.allocate(13).putInt(9).array());
+                }
+            } catch (IOException ended) {
+                // The program left, or was ended by its story.
+            }
+        }
+
         synchronized void tell(long number, byte[] record) {
             try {
                 ByteArrayOutputStream bytes = new ByteArrayOutputStream();
