--- a/src/main/java/firstage/net/list/Records.java
+++ b/src/main/java/firstage/net/list/Records.java
@@ -66,7 +66,8 @@
                 default -> Standing.LEFT;
             };
             engines.add(new Listed(id(f.need("instanceId")), Assignment.address(f.need("hostPort")),
-                    zones.indexOf(f.text("zone", "")), kinds.indexOf(f.text("machineType", "")),
+                    zones.indexOf(Fields.plain(f.text("zone", ""))),
+                    kinds.indexOf(Fields.plain(f.text("machineType", ""))),
                     f.index("cell", 0), standing, f.number("weight", 1), clock.of(f.whole("startedAtMs", 0))));
         }
         return engines;
--- a/src/main/java/firstage/setup/Fields.java
+++ b/src/main/java/firstage/setup/Fields.java
@@ -29,6 +29,11 @@
         put("", nested);
     }
 
+    /** A value as it stands in a list: the wire replaces commas in names, too. */
+    public static String plain(String name) {
+        return name.replace(',', '_');
+    }
+
     private void put(String path, Object value) {
         String dot = path.isEmpty() ? "" : path + ".";
         if (value instanceof Map<?, ?> map) {
@@ -39,7 +44,7 @@
                 put(dot + i, list.get(i));
             }
         } else if (value instanceof List<?> list) {
-            parts.put(path, list.stream().map(String::valueOf).collect(Collectors.joining(",")));
+            parts.put(path, list.stream().map(part -> plain(String.valueOf(part))).collect(Collectors.joining(",")));
         } else if (value != null) {
             parts.put(path, value.toString());
         }
