What must hold is checked each second: dispatches out against Brain's own, connections against the cap

Brain only tells how many dispatches it holds out at an engine; no decision changed. A failed assertion at the end no longer keeps the program from ending, but ends it with status 1.

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -5,14 +5,7 @@
 import firstage.door.ServiceGroup.Effect;
 import firstage.door.ServiceGroup.Scope;
 import firstage.state.*;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
-import java.util.TreeMap;
+import java.util.*;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 
@@ -533,6 +526,11 @@
                         .mapToDouble(e -> e.affinity(b.is.tables())).sorted().toArray();
     }
 
+    @Override
+    public int out(int engine) {
+        return engine(engine).flights.size();
+    }
+
     private static boolean usable(Engine e) {
         return e.standing == Standing.ACTIVE && (e.health == Health.READY || e.health == Health.TRIAL);
     }
--- a/src/main/java/firstage/door/WorkloadManager.java
+++ b/src/main/java/firstage/door/WorkloadManager.java
@@ -21,6 +21,9 @@
 
     void woken(long now, long token);
 
+    /** How many of its dispatches it holds to be out at this engine. */
+    int out(int engine);
+
     /** All news of this moment has been told; now act on it. */
     void turn(long now);
 }
--- a/src/main/java/firstage/net/Node.java
+++ b/src/main/java/firstage/net/Node.java
@@ -110,20 +110,35 @@
             closing = true;
             return;
         }
-        follower.close();
-        engines.close();
-        counters.hold(batches.inUse() == 0, "no batch is left at the end");
-        counters.hold(out == 0, "no dispatch is out at the end");
-        counters.hold(counters.sum("batches taken") == counters.sum("batches returned", "batches pushed back",
-                "batches errored", "batches overdue", "batches left by their clients"), "each batch ends once");
-        System.err.println("end: " + counters);
-        // Not on this thread: the exit waits for hooks, and sockets still flush here.
-        new Thread(() -> System.exit(0), "exit").start();
+        boolean held = false;
+        try {
+            follower.close();
+            check();
+            engines.close();
+            counters.hold(batches.inUse() == 0, "no batch is left at the end");
+            counters.hold(out == 0, "no dispatch is out at the end");
+            counters.hold(counters.sum("batches taken") == counters.sum("batches returned", "batches pushed back",
+                    "batches errored", "batches overdue", "batches left by their clients"), "each batch ends once");
+            held = true;
+        } finally {
+            System.err.println("end: " + counters);
+            int status = held ? 0 : 1;
+            // Not on this thread: the exit waits for hooks, and sockets still flush here.
+            new Thread(() -> System.exit(status), "exit").start();
+        }
+    }
+
+    private void check() {
+        for (int engine = 0; engine < engines.count(); engine++) {
+            counters.hold(engines.out(engine) == manager.out(engine), "dispatches out are those that Brain holds");
+        }
+        engines.check();
     }
 
     private void sweep() {
         long due = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SWEEP_MS);
         engines.sweep();
+        check();
         endIfIdle();
         later(SWEEP_MS, () -> {
             counters.peak("latest on the I/O thread, us", (System.nanoTime() - due) / 1_000);
@@ -224,6 +239,7 @@
     public void ended(Exchange x, Exchange.Dispatch d, Outcome how, long took, Report report, List<byte[]> pages) {
         counters.hold(x.out.remove(d), "a dispatch ends once");
         out--;
+        engines.ended(d.engine());
         counters.count("dispatches " + how);
         if (how == Outcome.RETURNED && x.returned(pages)) {
             over("batches returned");
--- a/src/main/java/firstage/net/engines/Engines.java
+++ b/src/main/java/firstage/net/engines/Engines.java
@@ -10,7 +10,9 @@
 import firstage.net.Tidings;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.xnio.XnioIoThread;
 
 /** All engines that were listed, by their index. */
@@ -29,7 +31,11 @@
     final long mostIdle;
     private final int cap;
     private int slots;
+    /** By the engine's index. */
     private final List<Link> links = new ArrayList<>();
+    /** Those with connections, also such as were replaced and are still asked. */
+    private final Set<Link> connected = new HashSet<>();
+    private final List<Integer> out = new ArrayList<>();
 
     public Engines(XnioIoThread io, Clock clock, Counters counters, Tidings tidings, Assignment assignment) {
         this.io = io;
@@ -55,6 +61,10 @@
         return true;
     }
 
+    void opens(Link link) {
+        connected.add(link);
+    }
+
     void freeSlot() {
         slots--;
         counters.hold(slots >= 0, "a connection is freed once");
@@ -63,6 +73,7 @@
     public void listed(int index, Tidings.Listed e) {
         while (links.size() <= index) {
             links.add(null);
+            out.add(0);
         }
         Link link = links.get(index);
         if (e.standing() != Standing.ACTIVE && link != null) {
@@ -88,7 +99,30 @@
         }
     }
 
+    /** How many engines were ever listed. */
+    public int count() {
+        return links.size();
+    }
+
+    /** How many dispatches are out at this engine. */
+    public int out(int engine) {
+        return out.get(engine);
+    }
+
+    /** One of them ended. */
+    public void ended(int engine) {
+        out.set(engine, out.get(engine) - 1);
+    }
+
+    /** Connections taken are those in use, idle, or coming up, and no more than the cap. */
+    public void check() {
+        int held = connected.stream().mapToInt(Link::held).sum();
+        counters.hold(held == slots && slots <= cap, "connections are in use, idle or coming up");
+        connected.removeIf(link -> link.held() == 0);
+    }
+
     public Exchange.Dispatch dispatch(Exchange x, int number, int engine) {
+        out.set(engine, out.get(engine) + 1);
         return new Run(this, links.get(engine), x, number, engine);
     }
 
@@ -137,11 +171,10 @@
     }
 
     public void sweep() {
-        links.stream().filter(l -> l != null).forEach(Link::sweep);
+        connected.forEach(Link::sweep);
     }
 
     public void close() {
-        links.stream().filter(l -> l != null).forEach(Link::close);
-        counters.hold(slots == 0, "no connection to an engine is left at the end");
+        List.copyOf(connected).forEach(Link::close);
     }
 }
--- a/src/main/java/firstage/net/engines/Link.java
+++ b/src/main/java/firstage/net/engines/Link.java
@@ -23,6 +23,7 @@
     /** The one that was used last is used next: the others age and are closed. */
     private final ArrayDeque<Connection> idle = new ArrayDeque<>();
     private final Set<Connection> all = new HashSet<>();
+    private int connecting;
     private boolean leaving;
     private boolean closed;
 
@@ -48,12 +49,15 @@
     }
 
     private void connect(Call call) {
+        connecting++;
+        engines.opens(this);
         IoFuture<? extends StreamConnection> coming = engines.io.openStreamConnection(address, null,
                 OptionMap.create(Options.TCP_NODELAY, true));
         XnioExecutor.Key late = engines.io.executeAfter(coming::cancel, engines.connectMs, TimeUnit.MILLISECONDS);
         // Told on this thread, after what is at hand: a refusal may be known before this call returns.
         coming.addNotifier((future, none) -> engines.io.execute(() -> {
             late.remove();
+            connecting--;
             if (future.getStatus() == IoFuture.Status.DONE) {
                 up(call, future);
             } else {
@@ -81,6 +85,11 @@
         }
     }
 
+    /** Its connections: in use, idle, or coming up. */
+    int held() {
+        return all.size() + connecting;
+    }
+
     void idle(Connection c) {
         if (closed) {
             c.close();
--- a/src/test/java/firstage/net/ServeIT.java
+++ b/src/test/java/firstage/net/ServeIT.java
@@ -77,6 +77,7 @@
         for (AutoCloseable each : opened) {
             each.close();
         }
+        assertThat(Files.readString(folder.resolve("log"))).doesNotContain("AssertionError", "Exception");
     }
 
     @Test
