The next of a key waits until the engine heard that the first is given up

A call-off was told to Brain after 20 ms in any case, so that a slow engine let the next of the key overtake (Run.giveUp). With a key it now waits for the answer, 2.2 s at most, and asks again meanwhile; the client is still answered in time.

--- a/src/main/java/firstage/net/Exchange.java
+++ b/src/main/java/firstage/net/Exchange.java
@@ -37,8 +37,10 @@
     /** When the client's time is up, on the clock of the decisions. */
     public final long notAfter;
     public final List<Dispatch> out = new ArrayList<>();
-    /** Its index, and that of its key, as the decisions know them. */
+    /** Its index, as the decisions know it. */
     public int batch = -1;
+    /** Whether others may wait for it to be over. */
+    public boolean keyed;
     /** Rings when the client's time is up. */
     public XnioExecutor.Key timeUp;
     public int dispatches;
--- a/src/main/java/firstage/net/Node.java
+++ b/src/main/java/firstage/net/Node.java
@@ -39,6 +39,8 @@
     private static final long OVERDUE_MS = 35;
     /** Dispatches that are given up end within this. */
     private static final long LAST_MS = 50;
+    private static final String[] ENDS = {"batches returned", "batches pushed back", "batches errored",
+        "batches errored at their limit", "batches left by their clients"};
     private final Assignment assignment;
     private final Clock clock = new Clock();
     private final Counters counters = new Counters();
@@ -95,7 +97,7 @@
     }
 
     private boolean idle() {
-        return open == 0 && door.idle();
+        return open == 0 && batches.inUse() == 0 && door.idle();
     }
 
     private void endIfIdle() {
@@ -115,10 +117,8 @@
             follower.close();
             check();
             engines.close();
-            counters.hold(batches.inUse() == 0, "no batch is left at the end");
             counters.hold(out == 0, "no dispatch is out at the end");
-            counters.hold(counters.sum("batches taken") == counters.sum("batches returned", "batches pushed back",
-                    "batches errored", "batches overdue", "batches left by their clients"), "each batch ends once");
+            counters.hold(counters.sum("batches taken") == counters.sum(ENDS), "each batch ends once");
             held = true;
         } finally {
             System.err.println("end: " + counters);
@@ -189,6 +189,7 @@
         counters.count("batches taken");
         open++;
         x.batch = batches.of(x);
+        x.keyed = key != null;
         long now = clock.now();
         x.timeUp = later(Math.max(0, (x.notAfter - now) / 10), () -> timeUp(x));
         tell("taken", () -> manager.taken(now, new Arrival(x.batch, group, customer,
@@ -199,10 +200,10 @@
         for (Exchange.Dispatch d : List.copyOf(x.out)) {
             d.giveUp(Outcome.TIMED_OUT);
         }
-        // A fault in the decisions must not leave a client without its answer.
+        // Neither a fault in the decisions nor an engine that hears of no DELETE may keep a client's answer back.
         later(OVERDUE_MS, () -> {
             if (x.errored()) {
-                over("batches overdue");
+                over("batches errored at their limit");
                 tell("overdue", () -> manager.clientLeft(clock.now(), x.batch));
             }
         });
--- a/src/main/java/firstage/net/engines/Run.java
+++ b/src/main/java/firstage/net/engines/Run.java
@@ -20,8 +20,11 @@
     private static final int MOST_RESULT = 256 * 1024;
     /** Between askings that fail at once. */
     private static final long PAUSE_MS = 50;
-    /** The client's answer may wait so long for an engine to hear that a query is given up. */
+    /** So long a dispatch may take to end that is given up: the client's answer waits for it. */
     private static final long GIVE_UP_MS = 20;
+    /** An engine ends a query that nobody asked for in 2 s: then the next of its key can't overtake it. */
+    private static final long GIVE_UP_KEYED_MS = 2_200;
+    private static final long DELETE_MS = 200;
     private final Engines engines;
     private final Link link;
     private final Exchange x;
@@ -206,7 +209,18 @@
         }
         priority = next;
         if (started) {
-            link.call(new Ignored("PUT /x/" + x.id, String.valueOf(next).getBytes(StandardCharsets.US_ASCII)), false);
+            byte[] body = String.valueOf(next).getBytes(StandardCharsets.US_ASCII);
+            link.call(new Call("PUT /x/" + x.id, body, NEWS_MS) {
+                @Override
+                void answered(Response r) {
+                    // Nothing depends on it.
+                }
+
+                @Override
+                void failed(Failure f) {
+                    // Nothing depends on it.
+                }
+            }, false);
         }
     }
 
@@ -222,13 +236,29 @@
             engines.io.execute(() -> end(Outcome.NOT_SENT));
             return;
         }
-        engines.io.executeAfter(() -> end(how), GIVE_UP_MS, TimeUnit.MILLISECONDS);
-        link.call(new Ignored("DELETE /x/" + x.id, null) {
+        engines.io.executeAfter(() -> end(how), x.keyed ? GIVE_UP_KEYED_MS : GIVE_UP_MS, TimeUnit.MILLISECONDS);
+        delete(how, false);
+    }
+
+    private void delete(Outcome how, boolean fresh) {
+        if (over && fresh) {
+            return;
+        }
+        link.call(new Call("DELETE /x/" + x.id, null, DELETE_MS) {
             @Override
             void answered(Response r) {
                 end(how);
             }
-        }, false);
+
+            @Override
+            void failed(Failure f) {
+                if (f == Failure.REFUSED) {
+                    end(how);
+                } else {
+                    engines.io.executeAfter(() -> delete(how, true), PAUSE_MS, TimeUnit.MILLISECONDS);
+                }
+            }
+        }, fresh);
     }
 
     private void end(Outcome how) {
@@ -238,21 +268,4 @@
             engines.tidings.ended(x, this, how, took > 0 ? took : engines.clock.now() - sent, report, pages);
         }
     }
-
-    /** A call whose answer changes nothing. */
-    private static class Ignored extends Call {
-        Ignored(String what, byte[] body) {
-            super(what, body, NEWS_MS);
-        }
-
-        @Override
-        void answered(Response r) {
-            // Nothing depends on it.
-        }
-
-        @Override
-        void failed(Failure f) {
-            // Nothing depends on it.
-        }
-    }
 }
--- a/src/test/java/firstage/net/ServeIT.java
+++ b/src/test/java/firstage/net/ServeIT.java
@@ -171,6 +171,26 @@
         assertThat(one.seen.stream().filter(m -> m.what.startsWith("POST"))).hasSize(1);
     }
 
+    @Test
+    void theNextOfAKeyWaitsUntilTheEngineHeardThatTheFirstIsGivenUp() throws Exception {
+        one.script = seen -> seen.what.startsWith("DELETE") ? SILENCE : NOTHING_NEW;
+        try (Client first = new Client()) {
+            first.write("POST /ops/load", first.fields("load", 9000) + "X-Item: 7f\r\n", "INSERT INTO sales_3.t");
+            one.next("POST /x");
+        }
+        one.next("DELETE");
+        one.script = seen -> seen.what.startsWith("DELETE") ? "HTTP/1.1 204 No Content\r\n\r\n" : OK;
+        try (Client c = new Client()) {
+            c.write("POST /ops/load", c.fields("load", 9000) + "X-Item: 7f\r\n", "INSERT INTO sales_3.t");
+            Message next = one.seen.take();
+            while (next.what.startsWith("GET")) {
+                next = one.seen.take();
+            }
+            assertThat(next.what).startsWith("DELETE");
+            assertThat(c.follow(c.read()).status).isEqualTo(200);
+        }
+    }
+
     @Test
     void aRefusedConnectionProvesThatNothingRan() throws Exception {
         one.close();
