--- a/src/main/java/firstage/app/Main.java
+++ b/src/main/java/firstage/app/Main.java
@@ -21,7 +21,11 @@
         } else if (args.length == 1 && args[0].equals("serve")) {
             serve(System.getenv(ASSIGNMENT));
         } else if (args.length == 1 && args[0].equals("rehearse")) {
-            Rehearsal.run();
+            try {
+                Rehearsal.run();
+            } catch (IOException | RuntimeException fault) {
+                end("no rehearsal: " + fault.getMessage());
+            }
         } else {
             end("usage: java -jar firstage.jar benchlink | serve | rehearse");
         }
--- a/src/main/java/firstage/app/Rehearsal.java
+++ b/src/main/java/firstage/app/Rehearsal.java
@@ -25,6 +25,8 @@
     private static final String CALL = "POST /ops/batch HTTP/1.1\r\nHost: rehearsal\r\nX-Job-Id: 0123456789abcdef\r\n"
             + "X-Allow-Ms: 500\r\nContent-Length: 8\r\n\r\nSELECT 1";
 
+    private static final int MOST_WAIT_MS = 5_000;
+
     private Rehearsal() {
     }
 
@@ -44,6 +46,7 @@
         }
         node.start();
         try (Socket client = new Socket(loopback, port)) {
+            client.setSoTimeout(MOST_WAIT_MS);
             client.getOutputStream().write(CALL.getBytes(StandardCharsets.US_ASCII));
             InputStream answer = client.getInputStream();
             if (answer.read() < 0) {
