A quiet connection is not trusted with a statement; engines that hold no call are asked with a pause

Read in the protocol: the connections of a vanished machine stay open and silent. A POST on one that was idle is lost without a trace (Link.call took any idle one); a new connection that does not come up proves that nothing ran. Now an engine must have been heard within 0.4 s. Also: a mute call is given 1 s, so that slow ways do not look like broken ones; a deployment without customers takes any; the path to ask at can't be a class's.

--- a/src/main/java/firstage/net/clients/ClientDoor.java
+++ b/src/main/java/firstage/net/clients/ClientDoor.java
@@ -46,7 +46,7 @@
     /** Clients close their idle connections after 4 s; what is silent for longer is nobody's. */
     private static final int MOST_IDLE_MS = 20_000;
     private static final int MOST_PARSE_MS = 5_000;
-    private static final String NEWS = "/news/";
+    private static final String NEWS = "/-/news/";
     private static final HttpString JOB = new HttpString("X-Job-Id");
     private static final HttpString ALLOW = new HttpString("X-Allow-Ms");
     private static final HttpString TEAM = new HttpString("X-Team");
@@ -224,7 +224,7 @@
         double estimate = number(x, SIZE, 0);
         double memory = number(x, MEMORY, 0);
         String team = x.getRequestHeaders().getFirst(TEAM);
-        int customer = team == null ? customers.isEmpty() ? 0 : -1 : customers.indexOf(team);
+        int customer = customers.isEmpty() ? 0 : customers.indexOf(team);
         if (groups.indexOf(group) < 0) {
             refuse(x, 400, "unknown class");
         } else if (id == null || !id.matches("[0-9a-fA-F]{16}")) {
--- a/src/main/java/firstage/net/engines/Connection.java
+++ b/src/main/java/firstage/net/engines/Connection.java
@@ -86,6 +86,7 @@
                     }
                     return;
                 }
+                link.heard();
                 shared.flip();
                 if (call == null) {
                     // Bytes that nobody asked for: nothing on this connection can be trusted.
--- a/src/main/java/firstage/net/engines/Engines.java
+++ b/src/main/java/firstage/net/engines/Engines.java
@@ -128,7 +128,7 @@
 
     public void probe(int engine) {
         counters.count("probes");
-        links.get(engine).call(new Call("GET /busy", null, probeMs) {
+        links.get(engine).start(new Call("GET /busy", null, probeMs) {
             @Override
             void answered(Response r) {
                 tidings.probed(engine, r.status() == 200 ? Outcome.RETURNED : Outcome.ERRORED, report(r));
@@ -139,7 +139,7 @@
                 boolean unreached = f == Failure.REFUSED || f == Failure.UNREACHED;
                 tidings.probed(engine, unreached ? Outcome.NO_CONNECTION : Outcome.TIMED_OUT, null);
             }
-        }, false);
+        });
     }
 
     /** The load report of an answer, or null without one. */
--- a/src/main/java/firstage/net/engines/Link.java
+++ b/src/main/java/firstage/net/engines/Link.java
@@ -16,6 +16,8 @@
 
 /** The connections to one engine. They belong to its id: another may get its address when it is gone. */
 final class Link {
+    /** Tenths of a millisecond: engines answer a call for news after 250 ms, and the way there and back. */
+    private static final long TRUSTED = 4_000;
     private final Engines engines;
     private final Clock clock;
     final InetSocketAddress address;
@@ -24,6 +26,7 @@
     private final ArrayDeque<Connection> idle = new ArrayDeque<>();
     private final Set<Connection> all = new HashSet<>();
     private int connecting;
+    private long heard = Long.MIN_VALUE / 2;
     private boolean leaving;
     private boolean closed;
 
@@ -34,6 +37,20 @@
         this.host = address.getHostString() + ":" + address.getPort();
     }
 
+    /**
+     * Starts something on an idle connection while the engine was heard of late, else on a new one: the open
+     * connections of a vanished machine stay open, and what is written there is lost without a trace, while a
+     * connection that does not come up proves that nothing ran.
+     */
+    void start(Call call) {
+        call(call, clock.now() - heard > TRUSTED);
+    }
+
+    /** An engine sent something. */
+    void heard() {
+        heard = clock.now();
+    }
+
     /** Makes the call on an idle connection, else on a new one; {@code fresh} asks for a new one. */
     void call(Call call, boolean fresh) {
         sweep();
--- a/src/main/java/firstage/net/engines/Run.java
+++ b/src/main/java/firstage/net/engines/Run.java
@@ -14,8 +14,11 @@
  * pages fetched, ended once. A query belongs to no connection: where one fails, another is asked.
  */
 final class Run implements Exchange.Dispatch {
-    /** Engines answer within 250 ms; twice that without a word, and another connection is tried. */
-    private static final long NEWS_MS = 600;
+    /** Engines answer within 250 ms; another connection is tried in time before they drop it after 2 s. */
+    private static final long NEWS_MS = 1_000;
+    /** An engine that has nothing to tell and does not hold the call is asked again after a pause. */
+    private static final long HELD = 100;
+    private static final long NOT_HELD_MS = 20;
     /** Some five times what a result may hold. */
     private static final int MOST_RESULT = 256 * 1024;
     /** Between askings that fail at once. */
@@ -36,6 +39,7 @@
     private int size;
     private long took;
     private int failures;
+    private long asked;
     private boolean started;
     private boolean givenUp;
     private boolean over;
@@ -68,7 +72,7 @@
         if (givenUp) {
             return;
         }
-        link.call(new Call("POST /x", x.statement, NEWS_MS) {
+        link.start(new Call("POST /x", x.statement, NEWS_MS) {
             @Override
             boolean wanted() {
                 // An engine may begin to drain while the connection to it comes up.
@@ -98,13 +102,14 @@
                     default -> ask(true);
                 }
             }
-        }, false);
+        });
     }
 
     private void ask(boolean fresh) {
         if (over || givenUp) {
             return;
         }
+        asked = engines.clock.now();
         link.call(new Call("GET /x/" + x.id + "/0", null, NEWS_MS) {
             @Override
             void answered(Response r) {
@@ -140,7 +145,11 @@
         switch (r.status()) {
             case 202 -> {
                 note(r);
-                ask(false);
+                if (engines.clock.now() - asked < HELD) {
+                    engines.io.executeAfter(() -> ask(false), NOT_HELD_MS, TimeUnit.MILLISECONDS);
+                } else {
+                    ask(false);
+                }
             }
             case 200 -> {
                 took = engines.clock.now() - sent;
