--- a/src/main/java/firstage/net/engines/Connection.java
+++ b/src/main/java/firstage/net/engines/Connection.java
@@ -23,7 +23,6 @@
     private boolean closed;
     /** When its last call ended. */
     long idleSince;
-    boolean used;
 
     /** {@code shared} is one buffer of the thread, empty between events. */
     Connection(Link link, XnioIoThread io, ByteBuffer shared, StreamConnection channel) {
--- a/src/main/java/firstage/net/engines/Link.java
+++ b/src/main/java/firstage/net/engines/Link.java
@@ -54,9 +54,12 @@
     /** Makes the call on an idle connection, else on a new one; {@code fresh} asks for a new one. */
     void call(Call call, boolean fresh) {
         sweep();
+        if (!call.wanted()) {
+            engines.io.execute(() -> call.failed(Call.Failure.UNWANTED));
+            return;
+        }
         Connection ready = fresh ? null : idle.pollLast();
         if (ready != null) {
-            ready.used = true;
             ready.send(call, host);
         } else if (engines.takeSlot()) {
             connect(call);
