--- a/src/main/java/firstage/net/clients/ClientDoor.java
+++ b/src/main/java/firstage/net/clients/ClientDoor.java
@@ -137,7 +137,7 @@
 
     private void call(HttpServerExchange x) {
         if (headSize(x) > MOST_HEAD) {
-            refuse(x, 431, "head too long");
+            turnDown(x, 431, "head too long");
             return;
         }
         String path = x.getRequestPath();
@@ -146,7 +146,7 @@
                 x.setStatusCode(200);
                 x.endExchange();
             } else {
-                refuse(x, 405, "GET only");
+                turnDown(x, 405, "GET only");
             }
             return;
         }
@@ -156,11 +156,11 @@
         }
         String group = path.substring(path.lastIndexOf('/') + 1);
         if (group.isEmpty() || path.indexOf('/', 1) < 0) {
-            refuse(x, 404, "no such path");
+            turnDown(x, 404, "no such path");
         } else if (!x.getRequestMethod().equals(Methods.POST)) {
-            refuse(x, 405, "POST only");
+            turnDown(x, 405, "POST only");
         } else if (x.getRequestContentLength() > MOST_STATEMENT) {
-            refuse(x, 413, "statement too long");
+            turnDown(x, 413, "statement too long");
         } else {
             // A client that stops within a statement would hold its connection for ever.
             XnioExecutor.Key late = io.executeAfter(() -> IoUtils.safeClose(x.getConnection()), MOST_PARSE_MS,
@@ -176,7 +176,7 @@
                         counters.count("calls not whole");
                         if (fault instanceof Receiver.RequestToLargeException) {
                             broken.setPersistent(false);
-                            refuse(broken, 413, "statement too long");
+                            turnDown(broken, 413, "statement too long");
                         } else {
                             IoUtils.safeClose(broken.getConnection());
                             broken.endExchange();
@@ -187,7 +187,7 @@
 
     private void news(HttpServerExchange x, PendingCall call) {
         if (call == null) {
-            refuse(x, 404, "no such path");
+            turnDown(x, 404, "no such path");
         } else if (x.getRequestMethod().equals(Methods.GET)) {
             x.dispatch(SameThreadExecutor.INSTANCE, () -> call.asked(x));
         } else if (x.getRequestMethod().equals(Methods.DELETE)) {
@@ -195,12 +195,12 @@
             x.setStatusCode(204);
             x.endExchange();
         } else {
-            refuse(x, 405, "GET or DELETE only");
+            turnDown(x, 405, "GET or DELETE only");
         }
     }
 
     /** An answer to what can't be used; it never reached an engine. */
-    void refuse(HttpServerExchange x, int status, String why) {
+    void turnDown(HttpServerExchange x, int status, String why) {
         counters.count("calls answered " + status);
         x.setStatusCode(status);
         send(x, ByteBuffer.wrap(("{\"err\":\"" + why + "\"}\n").getBytes(StandardCharsets.US_ASCII)));
@@ -226,17 +226,17 @@
         String team = x.getRequestHeaders().getFirst(TEAM);
         int customer = customers.isEmpty() ? 0 : customers.indexOf(team);
         if (groups.indexOf(group) < 0) {
-            refuse(x, 400, "unknown class");
+            turnDown(x, 400, "unknown service group");
         } else if (id == null || !id.matches("[0-9a-fA-F]{16}")) {
-            refuse(x, 400, "X-Job-Id is missing or not usable");
+            turnDown(x, 400, "X-Job-Id is missing or not usable");
         } else if (!(allow > 0 && allow < 1e9)) {
-            refuse(x, 400, "X-Allow-Ms is missing or not usable");
+            turnDown(x, 400, "X-Allow-Ms is missing or not usable");
         } else if (!(estimate >= 0 && estimate < 1e12)) {
-            refuse(x, 400, "X-Size-Ms is not usable");
+            turnDown(x, 400, "X-Size-Ms is not usable");
         } else if (!(memory >= 0 && memory < 1e9)) {
-            refuse(x, 400, "X-Memory is not usable");
+            turnDown(x, 400, "X-Memory is not usable");
         } else if (customer < 0) {
-            refuse(x, 400, "X-Team is missing or unknown");
+            turnDown(x, 400, "X-Team is missing or unknown");
         } else {
             PendingCall call = new PendingCall(this, NEWS + taken++ + "-" + id);
             Exchange batch = new Exchange(id, group, statement, now + (long) (allow * 10), call);
--- a/src/main/java/firstage/net/engines/Run.java
+++ b/src/main/java/firstage/net/engines/Run.java
@@ -11,7 +11,7 @@
 
 /**
  * A dispatch at its engine: started, asked for without pause (an engine drops what nobody asks for in 2 s), its
- * pages fetched, ended once. A query belongs to no connection: where one fails, another is asked.
+ * pages fetched, ended once. It belongs to no connection: where one fails, another is asked.
  */
 final class Run implements Exchange.Dispatch {
     /** Engines answer within 250 ms; another connection is tried in time before they drop it after 2 s. */
@@ -25,7 +25,7 @@
     private static final long PAUSE_MS = 50;
     /** So long a dispatch may take to end that is given up: the client's answer waits for it. */
     private static final long GIVE_UP_MS = 20;
-    /** An engine ends a query that nobody asked for in 2 s: then the next of its key can't overtake it. */
+    /** An engine ends what nobody asked for in 2 s: then the next of its key can't overtake it. */
     private static final long GIVE_UP_KEYED_MS = 2_200;
     private static final long DELETE_MS = 200;
     private final Engines engines;
@@ -98,7 +98,7 @@
                 switch (f) {
                     case REFUSED, UNREACHED -> end(Outcome.NO_CONNECTION);
                     case NO_ROOM, UNWANTED -> end(Outcome.NOT_SENT);
-                    case MALFORMED -> end(Outcome.ERRORED);
+                    case MALFORMED -> giveUp(Outcome.ERRORED);
                     default -> ask(true);
                 }
             }
@@ -128,7 +128,8 @@
         if (f == Call.Failure.REFUSED) {
             end(Outcome.BROKEN);
         } else if (f == Call.Failure.MALFORMED) {
-            end(Outcome.ERRORED);
+            // It may run on unseen: its engine is told to end it.
+            giveUp(Outcome.ERRORED);
         } else {
             // The first time at once: a process that died resets its connections, and refuses the next.
             long pause = failures++ == 0 ? 0 : PAUSE_MS;
@@ -233,7 +234,7 @@
         }
     }
 
-    /** Ends once the engine has heard of it, or can't hear in time: until then the query counts as out. */
+    /** Ends once the engine has heard of it, or can't hear in time: until then it counts as out. */
     @Override
     public void giveUp(Outcome how) {
         if (over || givenUp) {
