What is no HTTP gets its JSON line, too

Undertow's parser answers it with a bare 400 before any handler is asked (HttpReadListener); a thin layer over the socket now gives that one answer the line that all other faults have.

--- a/src/main/java/firstage/net/clients/ClientDoor.java
+++ b/src/main/java/firstage/net/clients/ClientDoor.java
@@ -40,7 +40,7 @@
 /** Where clients come in: reads their calls, answers what can't be used, hands on the rest. */
 public final class ClientDoor {
     private static final int MOST_STATEMENT = 64 * 1024;
-    /** Answered 431; beyond four times that Undertow closes with a bare 400, as it does where a head is no HTTP. */
+    /** Answered 431; beyond four times that it is taken for no HTTP. */
     private static final int MOST_HEAD = 16 * 1024;
     private static final int BACKLOG = 512;
     /** Clients close their idle connections after 4 s; what is silent for longer is nobody's. */
@@ -93,12 +93,17 @@
                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false).getMap());
         http.setRootHandler(new HttpContinueReadHandler(this::call));
-        server = worker.createStreamConnectionServer(address, ChannelListeners.openListenerAdapter(http),
+        server = worker.createStreamConnectionServer(address, ChannelListeners.openListenerAdapter(this::opened),
                 OptionMap.builder().set(Options.REUSE_ADDRESSES, true).set(Options.BACKLOG, BACKLOG)
                         .set(Options.TCP_NODELAY, true).getMap());
         server.resumeAccepts();
     }
 
+    private void opened(StreamConnection connection) {
+        connection.getSinkChannel().setConduit(new FaultLine(connection.getSinkChannel().getConduit()));
+        http.handleEvent(connection);
+    }
+
     /** No new connections; what is open is answered still. */
     public void close() {
         closing = true;
