SIGHUP moves the list's follower; client connections are capped, mute and idle ones closed

Churn, seen: 'Too many open files' in every manager's log, XNIO backing off for 250 ms and more after each, 249 of 256 descriptors in use (/proc), nearly all sockets; order broken 67 times. Cause: ClientDoor kept connections idle for 20 s and mute ones for as long, while clients keep theirs for good; Engines' cap of two thirds less 64 did not add up with them. While XNIO backs off, a batch waits unaccepted and the next of its key, on an open connection, overtakes it. Now Callers owns the clients' connections: half of what 40 descriptors for files leave (21 counted at start); one more costs the one silent longest; mute ones end after 2 s, idle ones after 5 s (clients close after 4 s). Engines: at the cap the connection idle longest gives way. Catches also: crowds that connect and say nothing. May hurt: a client that opens a connection 2 s before it is used.

Reload, seen: exit 129, a JVM ends on SIGHUP. Main handles it now (a handler that ignores it first can't be replaced: tried, ServeIT failed); Follower.follow takes another configuration and leaves the old coordinator at once, from the last number.

--- a/src/main/java/firstage/app/Main.java
+++ b/src/main/java/firstage/app/Main.java
@@ -6,11 +6,14 @@
 import firstage.setup.MalformedLine;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.logging.Logger;
 import sun.misc.Signal;
 
 /** The command line. */
 public final class Main {
+    private static final Logger LOG = Logger.getLogger(Main.class.getName());
     private static final String ASSIGNMENT = "ROUTER_CONFIG";
+    private static final Signal HUP = new Signal("HUP");
 
     private Main() {
     }
@@ -36,14 +39,26 @@
             if (file == null) {
                 throw new MalformedLine("no configuration: " + ASSIGNMENT + " is not set");
             }
+            // By itself a JVM ends on SIGHUP; one that ignores it once can't be told to listen again.
+            Signal.handle(HUP, early -> LOG.info("a configuration is being read"));
             Node node = new Node(Assignment.read(Path.of(file)));
             Signal.handle(new Signal("TERM"), signal -> node.close());
+            Signal.handle(HUP, signal -> readAnew(node, Path.of(file)));
             node.start();
         } catch (IOException | RuntimeException fault) {
             end("can't serve: " + String.valueOf(fault.getMessage()).lines().findFirst().orElse(""));
         }
     }
 
+    /** On the signal's own thread. One that can't be read changes nothing: the program serves on as it is. */
+    private static void readAnew(Node node, Path file) {
+        try {
+            node.told(Assignment.read(file));
+        } catch (IOException | RuntimeException fault) {
+            LOG.warning("the new configuration can't be read: " + fault.getMessage());
+        }
+    }
+
     private static void end(String why) {
         System.err.println(why);
         System.exit(2);
--- a/src/main/java/firstage/net/Assignment.java
+++ b/src/main/java/firstage/net/Assignment.java
@@ -22,6 +22,17 @@
 public record Assignment(String name, InetSocketAddress listen, InetSocketAddress coordinator, int descriptors,
                          Map<?, ?> known, Fields settings, Deployment deployment) {
 
+    /** Descriptors for what is no connection to an engine or a client: files, selectors, the coordinator. */
+    private static final int RESERVE = 40;
+
+    /**
+     * How many connections clients may hold, and how many may be held to engines. Clients hold a third of the
+     * descriptors at most; half of what is left leaves room for some that should not be there.
+     */
+    public int connectionsEach() {
+        return descriptors > 0 ? Math.max(1, (descriptors - RESERVE) / 2) : Integer.MAX_VALUE / 2;
+    }
+
     /** Reads it; the message of the exception names the fault. */
     public static Assignment read(Path file) throws IOException {
         try (JsonParser in = new JsonFactory().createParser(file.toFile())) {
--- a/src/main/java/firstage/net/Node.java
+++ b/src/main/java/firstage/net/Node.java
@@ -75,13 +75,22 @@
     /** Starts serving; returns once clients can connect. */
     public void start() throws IOException {
         io.execute(() -> {
-            follower.start();
+            follower.follow(assignment);
             sweep();
         });
         door.listen(worker);
         LOG.info(() -> assignment.name() + " listens on " + assignment.listen());
     }
 
+    /** A new configuration: it reaches the list's follower only. */
+    public void told(Assignment next) {
+        io.execute(() -> {
+            counters.count("configurations read anew");
+            LOG.info(() -> "the coordinator is at " + next.coordinator());
+            follower.follow(next);
+        });
+    }
+
     /** Serves on while the front still sends, answers all that was taken, then ends the program. */
     public void close() {
         io.execute(() -> {
--- a/src/main/java/firstage/net/clients/ClientDoor.java
+++ b/src/main/java/firstage/net/clients/ClientDoor.java
@@ -9,6 +9,7 @@
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.io.Receiver;
+import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.HttpContinueReadHandler;
@@ -43,9 +44,12 @@
     /** Answered 431; beyond four times that it is taken for no HTTP. */
     private static final int MOST_HEAD = 16 * 1024;
     private static final int BACKLOG = 512;
-    /** Clients close their idle connections after 4 s; what is silent for longer is nobody's. */
-    private static final int MOST_IDLE_MS = 20_000;
-    private static final int MOST_PARSE_MS = 5_000;
+    /** Accepted, and not yet handed over. */
+    private static final int IN_HAND = 8;
+    /** From the end of its head to the end of a statement. */
+    private static final int MOST_PARSE_MS = 2_000;
+    /** An answer to what can't be read may be read so long; then the connection is closed under what still comes. */
+    private static final int LAST_READ_MS = 200;
     private static final String NEWS = "/-/news/";
     private static final HttpString JOB = new HttpString("X-Job-Id");
     private static final HttpString ALLOW = new HttpString("X-Allow-Ms");
@@ -60,6 +64,8 @@
     private final InetSocketAddress address;
     private final List<String> groups = new ArrayList<>();
     private final List<String> customers = new ArrayList<>();
+    private final Callers callers;
+    private final int mostConnections;
     private AcceptingChannel<StreamConnection> server;
     private HttpOpenListener http;
     /** By the path at which the client may ask. */
@@ -75,6 +81,8 @@
         this.counters = counters;
         this.tidings = tidings;
         this.address = assignment.listen();
+        mostConnections = assignment.connectionsEach();
+        callers = new Callers(io, counters, mostConnections);
         Fields settings = assignment.settings();
         for (int i = 0; i < settings.index("classes.count", 0); i++) {
             groups.add(settings.text("classes." + i + ".name", ""));
@@ -88,20 +96,28 @@
         ByteBufferPool buffers = new DefaultByteBufferPool(true, 16 * 1024, 256, 0);
         http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.MAX_HEADER_SIZE, 4 * MOST_HEAD)
-                .set(UndertowOptions.NO_REQUEST_TIMEOUT, MOST_IDLE_MS)
-                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, MOST_PARSE_MS)
                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false).getMap());
         http.setRootHandler(new HttpContinueReadHandler(this::call));
         server = worker.createStreamConnectionServer(address, ChannelListeners.openListenerAdapter(this::opened),
                 OptionMap.builder().set(Options.REUSE_ADDRESSES, true).set(Options.BACKLOG, BACKLOG)
+                        .set(Options.CONNECTION_HIGH_WATER, mostConnections + IN_HAND)
+                        .set(Options.CONNECTION_LOW_WATER, mostConnections + IN_HAND - 1)
                         .set(Options.TCP_NODELAY, true).getMap());
         server.resumeAccepts();
+        io.execute(callers::sweep);
     }
 
     private void opened(StreamConnection connection) {
-        connection.getSinkChannel().setConduit(new FaultLine(connection.getSinkChannel().getConduit()));
-        http.handleEvent(connection);
+        if (callers.opens(connection)) {
+            connection.getSinkChannel().setConduit(new FaultLine(connection.getSinkChannel().getConduit()));
+            http.handleEvent(connection);
+            callers.watch(connection);
+        }
+    }
+
+    private static StreamConnection channel(HttpServerExchange x) {
+        return ((AbstractServerConnection) x.getConnection()).getChannel();
     }
 
     /** No new connections; what is open is answered still. */
@@ -141,6 +157,11 @@
     }
 
     private void call(HttpServerExchange x) {
+        callers.calls(channel(x));
+        x.addExchangeCompleteListener((over, next) -> {
+            callers.rests(channel(over));
+            next.proceed();
+        });
         if (headSize(x) > MOST_HEAD) {
             turnDown(x, 431, "head too long");
             return;
--- a/src/main/java/firstage/net/engines/Engines.java
+++ b/src/main/java/firstage/net/engines/Engines.java
@@ -17,8 +17,6 @@
 
 /** All engines that were listed, by their index. */
 public final class Engines {
-    /** Descriptors for what is no connection to an engine or a client: files, selectors, the coordinator. */
-    private static final int RESERVE = 64;
     private static final int READ_BUFFER = 16 * 1024;
     private static final long DEFAULT_KEEPALIVE = 10_000;
     final XnioIoThread io;
@@ -46,13 +44,12 @@
         probeMs = connectMs;
         long keepalive = assignment.settings().time("limits.keepalive");
         mostIdle = (keepalive > 0 ? keepalive : DEFAULT_KEEPALIVE) / 2;
-        // A third is the clients'.
-        cap = assignment.descriptors() > 0 ? Math.max(1, assignment.descriptors() * 2 / 3 - RESERVE)
-                : Integer.MAX_VALUE;
+        cap = assignment.connectionsEach();
     }
 
+    /** Room for one more connection; where there is none, an idle one of another engine gives way. */
     boolean takeSlot() {
-        if (slots >= cap) {
+        if (slots >= cap && connected.stream().noneMatch(Link::closeOldest)) {
             counters.count("connections not had");
             return false;
         }
--- a/src/main/java/firstage/net/engines/Link.java
+++ b/src/main/java/firstage/net/engines/Link.java
@@ -136,6 +136,16 @@
         }
     }
 
+    /** Closes the connection that was idle longest; false without one. */
+    boolean closeOldest() {
+        Connection c = idle.peekFirst();
+        if (c != null) {
+            c.close();
+            gone(c);
+        }
+        return c != null;
+    }
+
     /** Nothing new is to be started there; what runs is asked for still. */
     void leaving() {
         leaving = true;
--- a/src/main/java/firstage/net/list/Follower.java
+++ b/src/main/java/firstage/net/list/Follower.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -31,13 +32,15 @@
     private final Counters counters;
     private final Tidings tidings;
     private final Records records;
-    private final InetSocketAddress coordinator;
-    private final Map<?, ?> known;
+    private InetSocketAddress coordinator;
     private final ByteBuffer buffer = ByteBuffer.allocate(16 * 1024);
     private long last;
     private StreamConnection channel;
     private Frames frames;
     private XnioExecutor.Key mute;
+    private XnioExecutor.Key retry;
+    /** Counts the tries to connect: only the last may come up. */
+    private long tries;
     private boolean closed;
 
     public Follower(XnioIoThread io, Clock clock, Counters counters, Tidings tidings, Assignment assignment) {
@@ -45,27 +48,35 @@
         this.counters = counters;
         this.tidings = tidings;
         records = new Records(clock, assignment.settings());
-        coordinator = assignment.coordinator();
-        known = assignment.known();
     }
 
-    /** Tells what is known from the start, then follows. */
-    public void start() {
+    /**
+     * Tells what a configuration knows and is not known yet, then follows its coordinator. Another one may come
+     * while this one is followed: its coordinator may be elsewhere and the old one tells nothing more, so that one
+     * is left at once. The numbers continue.
+     */
+    public void follow(Assignment assignment) {
         try {
-            if (known.get("updates") instanceof List<?> updates) {
+            if (assignment.known().get("updates") instanceof List<?> updates) {
                 for (Object update : updates) {
                     known((Map<?, ?>) update);
                 }
             }
-            last = Math.max(last, Long.parseLong(String.valueOf(known.containsKey("index") ? known.get("index") : 0)));
+            Object index = assignment.known().get("index");
+            last = Math.max(last, index == null ? 0 : Long.parseLong(String.valueOf(index)));
         } catch (RuntimeException fault) {
             counters.count("malformed lists");
-            LOG.warning("the list known at the start can't be read: " + fault.getMessage());
+            LOG.warning("the list that the configuration knows can't be read: " + fault.getMessage());
         }
+        coordinator = assignment.coordinator();
+        leave();
         connect();
     }
 
     private void known(Map<?, ?> update) {
+        if (Long.parseLong(String.valueOf(update.get("index"))) <= last) {
+            return;
+        }
         Map<?, ?> endpoints = (Map<?, ?>) update.get("endpoints");
         boolean whole = "true".equals(String.valueOf(endpoints.get("reset")));
         tidings.listed(whole ? Kind.WHOLE : Kind.CHANGES, records.read((List<?>) endpoints.get("instances")));
@@ -73,28 +84,42 @@
     }
 
     private void connect() {
+        retry = null;
         if (closed || coordinator == null) {
             return;
         }
+        long mine = ++tries;
         IoFuture<? extends StreamConnection> coming = io.openStreamConnection(coordinator, null, OptionMap.EMPTY);
         XnioExecutor.Key late = io.executeAfter(coming::cancel, CONNECT_MS, TimeUnit.MILLISECONDS);
         coming.addNotifier((future, none) -> io.execute(() -> {
             late.remove();
-            if (future.getStatus() == IoFuture.Status.DONE) {
-                up(future);
+            boolean done = future.getStatus() == IoFuture.Status.DONE;
+            if (mine != tries || closed) {
+                // Another coordinator is followed meanwhile.
+                IoUtils.safeClose(done ? result(future) : null);
+            } else if (done) {
+                up(result(future));
             } else {
                 again();
             }
         }), null);
     }
 
+    private static StreamConnection result(IoFuture<? extends StreamConnection> done) {
+        try {
+            return done.get();
+        } catch (IOException fault) {
+            throw new IllegalStateException(fault);
+        }
+    }
+
     private void again() {
-        io.executeAfter(this::connect, AGAIN_MS, TimeUnit.MILLISECONDS);
+        retry = io.executeAfter(this::connect, AGAIN_MS, TimeUnit.MILLISECONDS);
     }
 
-    private void up(IoFuture<? extends StreamConnection> future) {
+    private void up(StreamConnection connection) {
+        channel = connection;
         try {
-            channel = future.get();
             frames = new Frames();
             ByteBuffer hello = ByteBuffer.allocate(Long.BYTES).putLong(0, last);
             while (hello.hasRemaining()) {
@@ -118,19 +143,28 @@
     }
 
     private void lost() {
-        if (mute != null) {
-            mute.remove();
+        leave();
+        counters.count("connections to the coordinator lost");
+        again();
+    }
+
+    /** Gives up the connection, and what was to happen on it. */
+    private void leave() {
+        tries++;
+        for (XnioExecutor.Key due : Arrays.asList(mute, retry)) {
+            if (due != null) {
+                due.remove();
+            }
         }
         mute = null;
+        retry = null;
         IoUtils.safeClose(channel);
         channel = null;
-        counters.count("connections to the coordinator lost");
-        again();
     }
 
     private void readable(ConduitStreamSourceChannel source) {
         try {
-            while (true) {
+            while (source.isOpen()) {
                 buffer.clear();
                 int n = source.read(buffer);
                 if (n == 0) {
@@ -166,9 +200,6 @@
 
     public void close() {
         closed = true;
-        if (mute != null) {
-            mute.remove();
-        }
-        IoUtils.safeClose(channel);
+        leave();
     }
 }
--- a/src/test/java/firstage/net/ServeIT.java
+++ b/src/test/java/firstage/net/ServeIT.java
@@ -43,6 +43,7 @@
     private Path folder;
     private final List<AutoCloseable> opened = new ArrayList<>();
     private Process program;
+    private Path config;
     private int port;
     private StandInEngine one;
     private StandInCoordinator coordinator;
@@ -274,6 +275,45 @@
         assertThat(coordinator.asked.take()).isEqualTo(3L);
     }
 
+    @Test
+    void onSighupTheListIsFollowedAtTheNewAddressAndNothingElseChanges() throws Exception {
+        coordinator.asked.take();
+        coordinator.tell(2, record(1, one.port(), 1));
+        StandInCoordinator next = new StandInCoordinator();
+        StandInEngine two = new StandInEngine();
+        String now = Files.readString(config).replace(":" + coordinator.port() + "\"", ":" + next.port() + "\"");
+        for (String text : List.of("{\"listen\":", now, now)) {
+            Files.writeString(config, text);
+            new ProcessBuilder("kill", "-HUP", String.valueOf(program.pid())).start().waitFor();
+            Thread.sleep(200);
+        }
+        assertThat(next.asked.take()).isEqualTo(2L);
+        assertThat(next.asked.take()).isEqualTo(2L);
+        next.tell(3, record(2, two.port(), 0));
+        two.awaitUse(this);
+        assertThat(coordinator.asked).isEmpty();
+    }
+
+    @Test
+    void clientsThatConnectAndSayNothingKeepNobodyOut() throws Exception {
+        program.destroyForcibly().waitFor();
+        program = launch(config().replace("\"sockets\":1024", "\"sockets\":140"));
+        awaitAlive();
+        List<Client> mute = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            mute.add(new Client());
+        }
+        long from = System.nanoTime();
+        try (Client c = new Client()) {
+            assertThat(c.post("lookup", "", "SELECT 1", 2000).body).isEqualTo("{\"page\":[[\"a\",\"b\"]]}");
+        }
+        for (Client c : mute) {
+            assertThat(c.socket.getInputStream().read()).isEqualTo(-1);
+            c.close();
+        }
+        assertThat((System.nanoTime() - from) / 1_000_000).isLessThan(3_000);
+    }
+
     @Test
     void withoutDescriptorsToSpareBatchesAreStillAnswered() throws Exception {
         program.destroyForcibly().waitFor();
@@ -349,11 +389,11 @@
     }
 
     // ---- The program and what it is told.
-    private Process launch(String config) throws IOException {
-        Path file = Files.writeString(Files.createTempFile(folder, "config", ".json"), config);
+    private Process launch(String text) throws IOException {
+        config = Files.writeString(Files.createTempFile(folder, "config", ".json"), text);
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-ea", "-Xmx64m", "-jar", Path.of("target", "firstage.jar").toString(), "serve");
-        builder.environment().put("ROUTER_CONFIG", file.toString());
+        builder.environment().put("ROUTER_CONFIG", config.toString());
         return builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
     }
 
