Spoilt answers are asked for again; clients' lengths, ids, figures and turns checked at the door

At fault: Run ended a dispatch as ERRORED on any answer that can't be read, though GET /x/ID/0 and pages give a good end again; 200 without Page-Count passed as one page; a body without a length ended with its connection, so what broke off passed as whole; a second copy of an answer on a connection used again at once was taken for the answer to the next call; a new connection reset before anything was written counted as 'unreached' and closed its engine. Now: asked again on another connection, five unreadable in a row at most; whole rows of three columns in UTF-8 only; what came behind an answer makes it doubtful unless it is a copy; a connection rests 10 ms and must be quiet before its next call; resets before writing try again. News is waited for 600 ms, not 1 s (engines answer in 250 ms). Rude, seen: a bad client was 'served'. Checked by stories: Content-Length beside Transfer-Encoding, pipelined calls, the id of an open batch and figures out of range all passed the door; a turned-down body was drained by Undertow for ever on the one thread (endExchange). Now each is answered 400, 409 or 413, and what can't be trusted is closed after 200 ms unread. Catches also: proxies that garble, clients that pipeline. May hurt: an engine that answers without a length is never believed.

--- a/src/main/java/firstage/net/clients/ClientDoor.java
+++ b/src/main/java/firstage/net/clients/ClientDoor.java
@@ -8,7 +8,9 @@
 import firstage.setup.Fields;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
+import io.undertow.io.IoCallback;
 import io.undertow.io.Receiver;
+import io.undertow.io.Sender;
 import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpServerExchange;
@@ -25,9 +27,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -50,6 +55,11 @@
     private static final int MOST_PARSE_MS = 2_000;
     /** An answer to what can't be read may be read so long; then the connection is closed under what still comes. */
     private static final int LAST_READ_MS = 200;
+    /** Work in ms or memory in MB: a year on one core, and a thousand engines' memory. */
+    private static final double MOST_FIGURE = 3e10;
+    /** Times its group's time limit: so long no client waits; clocks and rounding need far less. */
+    private static final double PAST_LIMIT = 1.5;
+    private static final Pattern FIGURE = Pattern.compile("[0-9]{1,15}(\\.[0-9]{1,15})?");
     private static final String NEWS = "/-/news/";
     private static final HttpString JOB = new HttpString("X-Job-Id");
     private static final HttpString ALLOW = new HttpString("X-Allow-Ms");
@@ -70,6 +80,10 @@
     private HttpOpenListener http;
     /** By the path at which the client may ask. */
     private final Map<String, PendingCall> pending = new HashMap<>();
+    /** The ids of batches whose clients are owed an answer. */
+    private final Set<String> ids = new HashSet<>();
+    /** Time limits of the groups in ms, by index. */
+    private final List<Double> limits = new ArrayList<>();
     private long taken;
     private int unanswered;
     private int writing;
@@ -86,6 +100,8 @@
         Fields settings = assignment.settings();
         for (int i = 0; i < settings.index("classes.count", 0); i++) {
             groups.add(settings.text("classes." + i + ".name", ""));
+            double limit = settings.number("classes." + i + ".deadline", 0) * 1_000;
+            limits.add(limit > 0 ? limit : MOST_FIGURE);
         }
         for (int i = 0; i < settings.index("tenants.count", 0); i++) {
             customers.add(settings.text("tenants." + i + ".name", ""));
@@ -131,14 +147,15 @@
         return unanswered == 0 && writing == 0;
     }
 
-    void given() {
+    void given(PendingCall call) {
+        ids.remove(call.id());
         unanswered--;
     }
 
     /** A call that nobody asks for any more. */
     void over(PendingCall call, boolean given) {
         if (pending.remove(call.path(), call) && !given) {
-            unanswered--;
+            given(call);
         }
     }
 
@@ -146,6 +163,21 @@
         return closing;
     }
 
+    /** Whether there is one way only to tell where the call's body ends. */
+    private static boolean framed(HttpServerExchange x) {
+        HeaderValues lengths = x.getRequestHeaders().get(Headers.CONTENT_LENGTH);
+        HeaderValues encodings = x.getRequestHeaders().get(Headers.TRANSFER_ENCODING);
+        if (encodings != null) {
+            return lengths == null && encodings.size() == 1 && encodings.getFirst().equalsIgnoreCase("chunked");
+        }
+        return lengths == null || lengths.size() == 1 && lengths.getFirst().matches("[0-9]{1,18}");
+    }
+
+    /** Whether the next call came before the answer to this one: a client makes one call at a time. */
+    private static boolean crowded(HttpServerExchange x) {
+        return ((AbstractServerConnection) x.getConnection()).getExtraBytes() != null;
+    }
+
     private static int headSize(HttpServerExchange x) {
         int size = x.getRequestURI().length();
         for (HeaderValues values : x.getRequestHeaders()) {
@@ -162,6 +194,11 @@
             callers.rests(channel(over));
             next.proceed();
         });
+        if (!framed(x)) {
+            // One body might hide another call behind its end; nothing on this connection can be trusted.
+            endWith(x, 400, "length not usable");
+            return;
+        }
         if (headSize(x) > MOST_HEAD) {
             turnDown(x, 431, "head too long");
             return;
@@ -201,8 +238,7 @@
                         late.remove();
                         counters.count("calls not whole");
                         if (fault instanceof Receiver.RequestToLargeException) {
-                            broken.setPersistent(false);
-                            turnDown(broken, 413, "statement too long");
+                            endWith(broken, 413, "statement too long");
                         } else {
                             IoUtils.safeClose(broken.getConnection());
                             broken.endExchange();
@@ -212,7 +248,9 @@
     }
 
     private void news(HttpServerExchange x, PendingCall call) {
-        if (call == null) {
+        if (crowded(x)) {
+            endWith(x, 400, "one call at a time");
+        } else if (call == null) {
             turnDown(x, 404, "no such path");
         } else if (x.getRequestMethod().equals(Methods.GET)) {
             x.dispatch(SameThreadExecutor.INSTANCE, () -> call.asked(x));
@@ -227,12 +265,44 @@
 
     /** An answer to what can't be used; it never reached an engine. */
     void turnDown(HttpServerExchange x, int status, String why) {
+        if (!x.isRequestComplete()) {
+            endWith(x, status, why);
+            return;
+        }
+        counters.count("calls answered " + status);
+        x.setStatusCode(status);
+        send(x, line(why), IoCallback.END_EXCHANGE);
+    }
+
+    /**
+     * The same, and the connection ends with it. What still comes is not read: Undertow would drain a body first,
+     * for as long as a client that never ends it sends, on the one thread that serves all others.
+     */
+    void endWith(HttpServerExchange x, int status, String why) {
         counters.count("calls answered " + status);
         x.setStatusCode(status);
-        send(x, ByteBuffer.wrap(("{\"err\":\"" + why + "\"}\n").getBytes(StandardCharsets.US_ASCII)));
+        x.setPersistent(false);
+        x.getResponseHeaders().put(Headers.CONNECTION, "close");
+        StreamConnection channel = channel(x);
+        callers.rests(channel);
+        send(x, line(why), new IoCallback() {
+            @Override
+            public void onComplete(HttpServerExchange over, Sender sender) {
+                io.executeAfter(() -> IoUtils.safeClose(over.getConnection()), LAST_READ_MS, TimeUnit.MILLISECONDS);
+            }
+
+            @Override
+            public void onException(HttpServerExchange over, Sender sender, IOException fault) {
+                IoUtils.safeClose(over.getConnection());
+            }
+        });
     }
 
-    void send(HttpServerExchange x, ByteBuffer body) {
+    private static ByteBuffer line(String why) {
+        return ByteBuffer.wrap(("{\"err\":\"" + why + "\"}\n").getBytes(StandardCharsets.US_ASCII));
+    }
+
+    void send(HttpServerExchange x, ByteBuffer body, IoCallback then) {
         writing++;
         x.addExchangeCompleteListener((over, next) -> {
             writing--;
@@ -240,47 +310,60 @@
         });
         x.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
         x.getResponseHeaders().put(Headers.CONTENT_LENGTH, body.remaining());
-        x.getResponseSender().send(body);
+        x.getResponseSender().send(body, then);
     }
 
     private void take(HttpServerExchange x, String group, byte[] statement) {
         long now = clock.now();
-        String id = x.getRequestHeaders().getFirst(JOB);
+        String id = field(x, JOB);
         double allow = number(x, ALLOW, -1);
         double estimate = number(x, SIZE, 0);
         double memory = number(x, MEMORY, 0);
-        String team = x.getRequestHeaders().getFirst(TEAM);
-        int customer = customers.isEmpty() ? 0 : customers.indexOf(team);
-        if (groups.indexOf(group) < 0) {
+        String key = field(x, ITEM);
+        int customer = customers.isEmpty() ? 0 : customers.indexOf(field(x, TEAM));
+        int index = groups.indexOf(group);
+        if (crowded(x)) {
+            endWith(x, 400, "one call at a time");
+        } else if (index < 0) {
             turnDown(x, 400, "unknown service group");
         } else if (id == null || !id.matches("[0-9a-fA-F]{16}")) {
             turnDown(x, 400, "X-Job-Id is missing or not usable");
-        } else if (!(allow > 0 && allow < 1e9)) {
+        } else if (ids.contains(id)) {
+            // Engines know a batch by its id: another statement under it would get this one's answer.
+            turnDown(x, 409, "X-Job-Id is of an open batch");
+        } else if (!(allow > 0 && allow <= limits.get(index) * PAST_LIMIT)) {
             turnDown(x, 400, "X-Allow-Ms is missing or not usable");
-        } else if (!(estimate >= 0 && estimate < 1e12)) {
+        } else if (!(estimate >= 0 && estimate < MOST_FIGURE)) {
             turnDown(x, 400, "X-Size-Ms is not usable");
-        } else if (!(memory >= 0 && memory < 1e9)) {
+        } else if (!(memory >= 0 && memory < MOST_FIGURE)) {
             turnDown(x, 400, "X-Memory is not usable");
+        } else if (key != null && !key.matches("[!-~]{1,64}")) {
+            turnDown(x, 400, "X-Item is not usable");
+        } else if (statement.length == 0) {
+            turnDown(x, 400, "no statement");
         } else if (customer < 0) {
             turnDown(x, 400, "X-Team is missing or unknown");
         } else {
-            PendingCall call = new PendingCall(this, NEWS + taken++ + "-" + id);
+            ids.add(id);
+            PendingCall call = new PendingCall(this, id, NEWS + taken++ + "-" + id);
             Exchange batch = new Exchange(id, group, statement, now + (long) (allow * 10), call);
             pending.put(call.path(), call);
             unanswered++;
             call.start(batch, x);
-            tidings.taken(batch, groups.indexOf(group), customer, x.getRequestHeaders().getFirst(ITEM),
-                    (long) (estimate * 10), (int) memory, Statement.group(statement));
+            tidings.taken(batch, index, customer, key, (long) (estimate * 10), (int) memory,
+                    Statement.group(statement));
         }
     }
 
-    /** A figure in a header; NaN where it can't be read. */
+    /** A header; null without it, and empty, which no field may be, where it is told twice. */
+    private static String field(HttpServerExchange x, HttpString header) {
+        HeaderValues values = x.getRequestHeaders().get(header);
+        return values == null ? null : values.size() == 1 ? values.getFirst().trim() : "";
+    }
+
+    /** A figure in a header, as people write it; not a number where it can't be read. */
     private static double number(HttpServerExchange x, HttpString header, double absent) {
-        String text = x.getRequestHeaders().getFirst(header);
-        try {
-            return text == null ? absent : Double.parseDouble(text.trim());
-        } catch (NumberFormatException fault) {
-            return Double.NaN;
-        }
+        String text = field(x, header);
+        return text == null ? absent : FIGURE.matcher(text).matches() ? Double.parseDouble(text) : Double.NaN;
     }
 }
--- a/src/main/java/firstage/net/clients/PendingCall.java
+++ b/src/main/java/firstage/net/clients/PendingCall.java
@@ -2,6 +2,7 @@
 
 import firstage.net.Exchange;
 import io.undertow.connector.PooledByteBuffer;
+import io.undertow.io.IoCallback;
 import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HttpString;
@@ -35,6 +36,7 @@
     }
 
     private final ClientDoor door;
+    private final String id;
     private final String path;
     private Exchange batch;
     /** The calls that are held: one, but where a client lost a connection and calls on another. */
@@ -44,11 +46,16 @@
     /** When nothing happens until then: the path is given, or the client taken as gone. */
     private XnioExecutor.Key timer;
 
-    PendingCall(ClientDoor door, String path) {
+    PendingCall(ClientDoor door, String id, String path) {
         this.door = door;
+        this.id = id;
         this.path = path;
     }
 
+    String id() {
+        return id;
+    }
+
     String path() {
         return path;
     }
@@ -69,7 +76,8 @@
     private void givePath() {
         if (!held.isEmpty() && answer == null) {
             HttpServerExchange x = held.get(0).release();
-            door.send(x, ByteBuffer.wrap(("{\"poll\":\"" + path + "\"}").getBytes(StandardCharsets.US_ASCII)));
+            door.send(x, ByteBuffer.wrap(("{\"poll\":\"" + path + "\"}").getBytes(StandardCharsets.US_ASCII)),
+                    IoCallback.END_EXCHANGE);
             after(AGAIN_MS, this::gone);
         }
     }
@@ -124,25 +132,17 @@
         }
 
         private void readable(ConduitStreamSourceChannel source) {
-            PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
-            boolean kept = false;
-            try {
+            try (PooledByteBuffer pooled = connection.getByteBufferPool().allocate()) {
                 int n = connection.getOriginalSourceConduit().read(pooled.getBuffer());
                 if (n < 0) {
                     broken(this);
                 } else if (n > 0) {
-                    // The next call, early: it waits for its turn, and a close goes unnoticed from here on.
-                    pooled.getBuffer().flip();
-                    connection.setExtraBytes(pooled);
-                    kept = true;
-                    connection.getOriginalSourceConduit().suspendReads();
+                    // The next call before the answer to this one: that is no client of ours.
+                    door.endWith(release(), 400, "one call at a time");
+                    gone();
                 }
             } catch (IOException fault) {
                 broken(this);
-            } finally {
-                if (!kept) {
-                    pooled.close();
-                }
             }
         }
     }
@@ -196,7 +196,7 @@
     private void give() {
         if (!given) {
             given = true;
-            door.given();
+            door.given(this);
         }
         boolean atPath = held.stream().allMatch(Held::atPath);
         for (Held call : List.copyOf(held)) {
@@ -206,7 +206,7 @@
             }
             x.setStatusCode(answer.status());
             x.setPersistent(x.isPersistent() && !door.closing());
-            door.send(x, answer.body().duplicate());
+            door.send(x, answer.body().duplicate(), IoCallback.END_EXCHANGE);
         }
         if (atPath) {
             after(AGAIN_MS, this::gone);
--- a/src/main/java/firstage/net/engines/Call.java
+++ b/src/main/java/firstage/net/engines/Call.java
@@ -5,8 +5,8 @@
 
 /** One call to an engine and what becomes of it: exactly one of the two is called, once. */
 abstract class Call {
-    /** REFUSED, UNREACHED, NO_ROOM, UNWANTED: nothing was sent. BROKEN, SILENT and MALFORMED prove nothing. */
-    enum Failure { REFUSED, UNREACHED, NO_ROOM, UNWANTED, BROKEN, SILENT, MALFORMED }
+    /** REFUSED, UNREACHED, RESET, NO_ROOM, UNWANTED: nothing was sent. The others prove nothing. */
+    enum Failure { REFUSED, UNREACHED, RESET, NO_ROOM, UNWANTED, BROKEN, SILENT, MALFORMED }
 
     final String what;
     final byte[] body;
--- a/src/main/java/firstage/net/engines/Connection.java
+++ b/src/main/java/firstage/net/engines/Connection.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
@@ -12,6 +13,7 @@
 
 /** A connection to an engine: one call at a time. */
 final class Connection {
+    private static final byte[] VERSION = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
     private final Link link;
     private final XnioIoThread io;
     private final ByteBuffer shared;
@@ -35,6 +37,16 @@
         channel.getSourceChannel().resumeReads();
     }
 
+    /** Whether nothing came since its last answer: what did would be taken for the answer to the next call. */
+    boolean quiet() {
+        try {
+            shared.clear();
+            return channel.getSourceChannel().read(shared) == 0;
+        } catch (IOException fault) {
+            return false;
+        }
+    }
+
     void send(Call next, String host) {
         call = next;
         reader = new ResponseReader();
@@ -78,11 +90,7 @@
                     return;
                 }
                 if (n < 0) {
-                    if (call != null && reader.end()) {
-                        done(true);
-                    } else {
-                        fail(Call.Failure.BROKEN);
-                    }
+                    fail(Call.Failure.BROKEN);
                     return;
                 }
                 link.heard();
@@ -91,7 +99,7 @@
                     // Bytes that nobody asked for: nothing on this connection can be trusted.
                     fail(Call.Failure.MALFORMED);
                 } else if (reader.take(shared)) {
-                    done(shared.hasRemaining());
+                    done();
                 }
             }
         } catch (IOException fault) {
@@ -105,11 +113,15 @@
         return text.contains("reset") || text.contains("Broken pipe") || text.contains("closed");
     }
 
-    private void done(boolean unusable) {
+    private void done() {
         Call over = call;
-        Response response = reader.response();
+        boolean more = shared.hasRemaining();
+        // A second copy of the answer shows that the first was whole.
+        boolean copy = shared.remaining() >= VERSION.length
+                && ByteBuffer.wrap(VERSION).equals(shared.slice(shared.position(), VERSION.length));
+        Response response = reader.response(more && !copy);
         forget();
-        if (unusable || unsent != null || response.closes()) {
+        if (more || unsent != null || response.closes()) {
             close();
             link.gone(this);
         } else {
--- a/src/main/java/firstage/net/engines/Link.java
+++ b/src/main/java/firstage/net/engines/Link.java
@@ -4,8 +4,10 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.SocketException;
 import java.util.ArrayDeque;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.xnio.IoFuture;
@@ -18,6 +20,8 @@
 final class Link {
     /** Tenths of a millisecond: engines answer a call for news after 250 ms, and the way there and back. */
     private static final long TRUSTED = 4_000;
+    /** Tenths of a millisecond between an answer and the next call: a second copy of it shows within that. */
+    private static final long REST = 100;
     private final Engines engines;
     private final Clock clock;
     final InetSocketAddress address;
@@ -58,7 +62,7 @@
             engines.io.execute(() -> call.failed(Call.Failure.UNWANTED));
             return;
         }
-        Connection ready = fresh ? null : idle.pollLast();
+        Connection ready = fresh ? null : rested();
         if (ready != null) {
             ready.send(call, host);
         } else if (engines.takeSlot()) {
@@ -68,6 +72,23 @@
         }
     }
 
+    /** The idle connection that was used last, but for those that have just been and those with something amiss. */
+    private Connection rested() {
+        Iterator<Connection> latest = idle.descendingIterator();
+        while (latest.hasNext()) {
+            Connection c = latest.next();
+            if (clock.now() - c.idleSince >= REST) {
+                latest.remove();
+                if (c.quiet()) {
+                    return c;
+                }
+                c.close();
+                gone(c);
+            }
+        }
+        return null;
+    }
+
     private void connect(Call call) {
         connecting++;
         engines.opens(this);
@@ -82,9 +103,10 @@
                 up(call, future);
             } else {
                 engines.freeSlot();
-                boolean refused = future.getStatus() == IoFuture.Status.FAILED
-                        && future.getException() instanceof ConnectException;
-                call.failed(refused ? Call.Failure.REFUSED : Call.Failure.UNREACHED);
+                call.failed(future.getStatus() != IoFuture.Status.FAILED ? Call.Failure.UNREACHED
+                        : future.getException() instanceof ConnectException ? Call.Failure.REFUSED
+                        : future.getException() instanceof SocketException ? Call.Failure.RESET
+                        : Call.Failure.UNREACHED);
             }
         }), null);
     }
--- a/src/main/java/firstage/net/engines/Response.java
+++ b/src/main/java/firstage/net/engines/Response.java
@@ -1,9 +1,36 @@
 package firstage.net.engines;
 
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 
-/** An engine's answer to one call; header names in lower case. */
-record Response(int status, Map<String, String> headers, byte[] body) {
+/** An engine's answer to one call; header names in lower case. {@code more}: bytes came behind its end. */
+record Response(int status, Map<String, String> headers, byte[] body, boolean more) {
+    private static final int TABS_IN_A_ROW = 2;
+
+    /**
+     * Whether the body is a page: whole rows of three columns, in characters that can be read. What was cut short
+     * or overwritten on its way seldom is, and what has more behind it may have been told a wrong length; such
+     * a page must not reach a client, and the engine gives it again.
+     */
+    boolean isPage() {
+        int tabs = 0;
+        for (byte b : body) {
+            tabs += b == '\t' ? 1 : 0;
+            if (b == '\n' && tabs != TABS_IN_A_ROW) {
+                return false;
+            }
+            tabs = b == '\n' ? 0 : tabs;
+        }
+        try {
+            StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(body));
+        } catch (CharacterCodingException fault) {
+            return false;
+        }
+        return !more && (body.length == 0 || body[body.length - 1] == '\n');
+    }
+
     /** A whole number in a header, or {@code absent} without one that can be used. */
     int whole(String name, int absent) {
         return (int) number(name, absent);
--- a/src/main/java/firstage/net/engines/ResponseReader.java
+++ b/src/main/java/firstage/net/engines/ResponseReader.java
@@ -14,7 +14,7 @@
     private static final int MOST_BODY = 64 * 1024;
     private static final int MOST_HEAD = 16 * 1024;
 
-    private enum Part { STATUS, HEADERS, BODY, TO_END, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, DONE }
+    private enum Part { STATUS, HEADERS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, DONE }
 
     private final ByteArrayOutputStream line = new ByteArrayOutputStream(64);
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(256);
@@ -27,7 +27,7 @@
     /** Takes what is there; true once the response is whole. What follows it stays in the buffer. */
     boolean take(ByteBuffer in) throws IOException {
         while (part != Part.DONE && in.hasRemaining()) {
-            if (part == Part.BODY || part == Part.CHUNK || part == Part.TO_END) {
+            if (part == Part.BODY || part == Part.CHUNK) {
                 copy(in);
             } else {
                 byte b = in.get();
@@ -46,20 +46,12 @@
         return part == Part.DONE;
     }
 
-    /** The connection ended; true if that makes the response whole. */
-    boolean end() {
-        if (part == Part.TO_END) {
-            part = Part.DONE;
-        }
-        return part == Part.DONE;
-    }
-
-    Response response() {
-        return new Response(status, headers, body.toByteArray());
+    Response response(boolean more) {
+        return new Response(status, headers, body.toByteArray(), more);
     }
 
     private void copy(ByteBuffer in) throws IOException {
-        int n = part == Part.TO_END ? in.remaining() : Math.min(left, in.remaining());
+        int n = Math.min(left, in.remaining());
         if (body.size() + n > MOST_BODY) {
             throw new IOException("body too long");
         }
@@ -67,7 +59,7 @@
         in.get(piece);
         body.write(piece, 0, n);
         left -= n;
-        if (part != Part.TO_END && left == 0) {
+        if (left == 0) {
             part = part == Part.BODY ? Part.DONE : Part.CHUNK_END;
         }
     }
@@ -85,8 +77,12 @@
             case HEADERS -> {
                 int colon = text.indexOf(':');
                 if (colon > 0) {
-                    headers.put(text.substring(0, colon).trim().toLowerCase(Locale.ROOT),
-                            text.substring(colon + 1).trim());
+                    String value = text.substring(colon + 1).trim();
+                    String name = text.substring(0, colon).trim().toLowerCase(Locale.ROOT);
+                    String before = headers.put(name, value);
+                    if (name.equals("content-length") && before != null && !before.equals(value)) {
+                        throw new IOException("two lengths");
+                    }
                 } else if (text.isEmpty()) {
                     headDone();
                 } else {
@@ -119,7 +115,8 @@
             }
             part = left == 0 ? Part.DONE : Part.BODY;
         } else {
-            part = Part.TO_END;
+            // Its end could not be told from a connection that breaks.
+            throw new IOException("no length");
         }
     }
 
--- a/src/main/java/firstage/net/engines/Run.java
+++ b/src/main/java/firstage/net/engines/Run.java
@@ -14,8 +14,13 @@
  * pages fetched, ended once. It belongs to no connection: where one fails, another is asked.
  */
 final class Run implements Exchange.Dispatch {
-    /** Engines answer within 250 ms; another connection is tried in time before they drop it after 2 s. */
-    private static final long NEWS_MS = 1_000;
+    /** Engines answer within 250 ms; another connection is tried well before they drop it after 2 s. */
+    private static final long NEWS_MS = 600;
+    /** Answers in a row that can't be read: some are spoilt on their way, not so many. */
+    private static final int MOST_UNREADABLE = 5;
+    /** New connections in a row that are reset before the statement is written. */
+    private static final int MOST_RESETS = 3;
+    private static final int MOST_PAGES = 64;
     /** An engine that has nothing to tell and does not hold the call is asked again after a pause. */
     private static final long HELD = 100;
     private static final long NOT_HELD_MS = 20;
@@ -39,6 +44,7 @@
     private int size;
     private long took;
     private int failures;
+    private int unreadable;
     private long asked;
     private boolean started;
     private boolean givenUp;
@@ -96,10 +102,17 @@
             @Override
             void failed(Failure f) {
                 switch (f) {
+                    case RESET -> {
+                        // The engine is there, and has seen nothing of it.
+                        if (++failures < MOST_RESETS) {
+                            start();
+                        } else {
+                            end(Outcome.NO_CONNECTION);
+                        }
+                    }
                     case REFUSED, UNREACHED -> end(Outcome.NO_CONNECTION);
                     case NO_ROOM, UNWANTED -> end(Outcome.NOT_SENT);
-                    case MALFORMED -> giveUp(Outcome.ERRORED);
-                    default -> ask(true);
+                    default -> again(f, () -> ask(true));
                 }
             }
         });
@@ -123,11 +136,18 @@
         }, fresh);
     }
 
-    /** A refused connection: its process has ended, and what ran there with it. Else it is asked again. */
+    /**
+     * A refused connection: its process has ended, and what ran there with it. Else it is asked again: an answer
+     * that broke off, was spoilt or never came is lost, but what it told is not, for the engine gives it again.
+     */
     private void again(Call.Failure f, Runnable asking) {
+        if (over || givenUp) {
+            return;
+        }
+        unreadable += f == Call.Failure.MALFORMED ? 1 : 0;
         if (f == Call.Failure.REFUSED) {
             end(Outcome.BROKEN);
-        } else if (f == Call.Failure.MALFORMED) {
+        } else if (unreadable >= MOST_UNREADABLE) {
             // It may run on unseen: its engine is told to end it.
             giveUp(Outcome.ERRORED);
         } else {
@@ -153,15 +173,24 @@
                 }
             }
             case 200 -> {
-                took = engines.clock.now() - sent;
-                pageCount = r.whole("page-count", 1);
-                page(r);
+                took = took > 0 ? took : engines.clock.now() - sent;
+                pageCount = r.whole("page-count", 0);
+                if (pageCount > 0 && pageCount <= MOST_PAGES && r.isPage()) {
+                    page(r);
+                } else {
+                    unusable(() -> ask(true));
+                }
             }
             case 503, 504 -> end(r.neverRan() ? Outcome.TURNED_AWAY : Outcome.ERRORED);
             default -> end(Outcome.ERRORED);
         }
     }
 
+    private void unusable(Runnable asking) {
+        engines.counters.count("pages that can't be used");
+        again(Call.Failure.MALFORMED, asking);
+    }
+
     private void note(Response r) {
         double figure = r.number("figure", 0);
         Note.Kind kind = switch (r.headers().getOrDefault("x-remark", "")) {
@@ -176,6 +205,8 @@
     }
 
     private void page(Response r) {
+        unreadable = 0;
+        failures = 0;
         pages.add(r.body());
         size += r.body().length;
         if (size > MOST_RESULT) {
@@ -198,10 +229,12 @@
                 if (over || givenUp) {
                     return;
                 }
-                if (r.status() == 200 && r.whole("page-no", -1) == wanted) {
+                if (r.status() != 200) {
+                    end(Outcome.ERRORED);
+                } else if (r.whole("page-no", -1) == wanted && r.isPage()) {
                     page(r);
                 } else {
-                    end(Outcome.ERRORED);
+                    unusable(() -> fetch(true));
                 }
             }
 
