An engine that may yet take a batch up is told to end it before the next of its key goes

At fault: Run.news ended a dispatch as ERRORED on a 500 to its GET, though that says only that the engine knows nothing of it, while its POST lay there unanswered; and Run.giveUp wrote its DELETE at once, which can overtake a POST under way. Shown by a story with a stand-in: the second of the key went out before any DELETE. Ruled out: an accept back-off (none logged), a late I/O thread (5.8 ms at the 99th percentile), the DELETE's 2.2 s (an engine drops in 2 s). Not seen on a trace: no line is written per batch. Catches also: engines that restart at the same address. May hurt: an error ends one round trip later there.

--- a/src/main/java/firstage/net/engines/Run.java
+++ b/src/main/java/firstage/net/engines/Run.java
@@ -47,7 +47,11 @@
     private int unreadable;
     private long asked;
     private boolean started;
+    /** Its POST is written and not answered, and whether an answer ever showed that the engine has it. */
+    private boolean posting;
+    private boolean known;
     private boolean givenUp;
+    private Outcome givenUpAs;
     private boolean over;
     private int priority;
     private Report report;
@@ -88,6 +92,7 @@
             @Override
             String head() {
                 started = true;
+                posting = true;
                 long left = Math.max(1, (x.notAfter - engines.clock.now()) / 10);
                 return "X-Ticket: " + x.id + "\r\nX-Queue: " + x.group + "\r\nX-Max-Ms: " + left + "\r\n"
                         + (x.grantMb > 0 ? "Grant-Mb: " + x.grantMb + "\r\n" : "")
@@ -96,11 +101,16 @@
 
             @Override
             void answered(Response r) {
+                posting = false;
+                known = true;
                 news(r);
+                deleteIfDue();
             }
 
             @Override
             void failed(Failure f) {
+                posting = false;
+                deleteIfDue();
                 switch (f) {
                     case RESET -> {
                         // The engine is there, and has seen nothing of it.
@@ -118,6 +128,13 @@
         });
     }
 
+    /** With a key, given up while its POST was under way: a DELETE that overtook that would have ended nothing. */
+    private void deleteIfDue() {
+        if (givenUp && !over && x.keyed) {
+            delete(givenUpAs, true);
+        }
+    }
+
     private void ask(boolean fresh) {
         if (over || givenUp) {
             return;
@@ -182,8 +199,16 @@
                 }
             }
             case 503, 504 -> end(r.neverRan() ? Outcome.TURNED_AWAY : Outcome.ERRORED);
-            default -> end(Outcome.ERRORED);
+            default -> {
+                if (known) {
+                    end(Outcome.ERRORED);
+                } else {
+                    // The engine has not heard of it, but has its statement, and may take that up yet.
+                    giveUp(Outcome.ERRORED);
+                }
+            }
         }
+        known = true;
     }
 
     private void unusable(Runnable asking) {
@@ -274,13 +299,16 @@
             return;
         }
         givenUp = true;
+        givenUpAs = how;
         if (!started) {
             // It is not written any more; told after what is at hand, as it may be a decision that gives it up.
             engines.io.execute(() -> end(Outcome.NOT_SENT));
             return;
         }
         engines.io.executeAfter(() -> end(how), x.keyed ? GIVE_UP_KEYED_MS : GIVE_UP_MS, TimeUnit.MILLISECONDS);
-        delete(how, false);
+        if (!(posting && x.keyed)) {
+            delete(how, false);
+        }
     }
 
     private void delete(Outcome how, boolean fresh) {
--- a/src/test/java/firstage/net/ServeIT.java
+++ b/src/test/java/firstage/net/ServeIT.java
@@ -193,6 +193,22 @@
         }
     }
 
+    @Test
+    void theNextOfAKeyWaitsWhileAnEngineMayYetTakeUpTheFirst() throws Exception {
+        String first = job(1);
+        one.script = seen -> seen.what.startsWith("DELETE") ? "HTTP/1.1 204 No Content\r\n\r\n"
+                : seen.what.startsWith("GET") ? "HTTP/1.1 500 Unknown\r\nContent-Length: 0\r\n\r\n"
+                : first.equals(seen.headers.get("x-ticket")) ? SILENCE : OK;
+        try (Client c = new Client(); Client other = new Client()) {
+            c.write("POST /ops/load", c.fields("load", 9000) + "X-Item: 7f\r\n", "INSERT INTO sales_3.t");
+            one.next("POST /x");
+            other.write("POST /ops/load", other.fields("load", 9000) + "X-Item: 7f\r\n", "INSERT INTO sales_3.t");
+            assertThat(c.follow(c.read()).status).isEqualTo(500);
+            assertThat(other.follow(other.read()).status).isEqualTo(200);
+        }
+        assertThat(one.seen.stream().map(m -> m.what.substring(0, 4))).containsExactly("GET ", "DELE", "POST");
+    }
+
     @Test
     void aRefusedConnectionProvesThatNothingRan() throws Exception {
         one.close();
