At SIGTERM what cannot be over in time is pushed back, so that another manager runs it

At fault: Brain knew nothing of a planned end; a report taken shortly before ran on until SIGKILL (3.7 s after SIGTERM at most where time limits are longer), and its client got no answer that lets it go elsewhere. Now Node tells Brain when the program ends (the longest time limit, 3 s at most, and 0.4 s); Brain sends nothing that is expected to run past that, pushes it back at once with a time to come back, and at that moment pushes back what still runs where rule 2 allows; Node has it deleted at its engine. Once-only batches that are out run on.

May hurt: estimates that are far too high push short work away for 3 s.

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -144,6 +144,7 @@
     private boolean crowded;
     private boolean subscribe;
     private boolean stirred;
+    private long closesAt = Long.MAX_VALUE;
 
     public Brain(Deployment deployment, Host host) {
         this.host = host;
@@ -219,8 +220,7 @@
         } else if (how == Outcome.TIMED_OUT && usable(e)) {
             // Where nothing comes back no answer tells of a jam; a silent engine is no sign of one.
             slowed(now, e, (now - f.sent) * b.group.is.threads() / b.expectedWork());
-        }
-        if (how == Outcome.RETURNED) {
+        } else if (how == Outcome.RETURNED) {
             e.spoke(now, f);
             learn(now, f, ending);
         }
@@ -231,7 +231,7 @@
         }
         if (ending.closed() || b.closed) {
             close(b);
-        } else if (b.out.isEmpty() && mayGoAgain(now, b) && now < b.is.notAfter() - LAST_CALL) {
+        } else if (b.out.isEmpty() && mayGoAgain(now, b) && now < lastMoment(b)) {
             held.put(b.order, b);
         } else if (b.out.isEmpty()) {
             giveUp(b);
@@ -279,6 +279,11 @@
         Optional.ofNullable(batches.get(batch)).ifPresent(this::close);
     }
 
+    @Override
+    public void closing(long now, long endsAt) {
+        closesAt = endsAt;
+    }
+
     @Override
     public void listed(long now, EngineList list) {
         subscribe |= list.kind() == EngineList.Kind.FAILED;
@@ -365,7 +370,7 @@
         nextRelease = now + RELEASE;
         crowded = false;
         for (Batch b : held.isEmpty() ? List.<Batch>of() : new ArrayList<>(held.values())) {
-            boolean mayGo = now < b.is.notAfter() - LAST_CALL && myTurn(now, b);
+            boolean mayGo = now < lastMoment(b) && myTurn(now, b);
             Engine e = mayGo ? choose(now, b) : null;
             crowded |= mayGo && e == null;
             if (e != null) {
@@ -394,7 +399,12 @@
         boolean told = b.is.estimate() > 0;
         double run = b.expectedRun() * (told ? 1 : Math.max(1, fleet.quantile(0.5)));
         boolean byGoal = b.group.is.lateValue() == 0 || crowded && !told;
-        return Math.min(b.is.notAfter() - LAST_CALL, (byGoal ? b.goalAt : b.is.notAfter()) - (long) run);
+        return Math.min(lastMoment(b), (byGoal ? b.goalAt : b.is.notAfter()) - (long) run);
+    }
+
+    /** The last moment at which it may be sent: before its limit, and to be over before the program ends. */
+    private long lastMoment(Batch b) {
+        return Math.min(b.is.notAfter() - LAST_CALL, closesAt - b.expectedRun());
     }
 
     private void send(long now, Batch b, Engine e) {
@@ -457,10 +467,12 @@
             double grant = grant(b, e);
             int threads = b.group.is.threads();
             // Many managers with one lone batch each would fill an engine: all bounds together still hold.
+            // One of the first rank may run past the bound: many short ones would starve behind long ones.
+            boolean only = first && !e.runs(FIRST_RANK);
             boolean lone = e.flights.isEmpty() && (out == 0 || out + threads <= bounds)
-                    || small && first && allowed.priorities() && top.quantile(0.5) < SLOW && !hasFirst(e);
+                    || small && only && allowed.priorities() && top.quantile(0.5) < SLOW;
             boolean fits = lone || e.reserved + grant <= e.slice * warm
-                    && (e.threads + threads <= e.bound * warm || first && !hasFirst(e));
+                    && (e.threads + threads <= e.bound * warm || only);
             boolean easy = warm >= 1 && !pressed(now, e) && e.reserved + grant <= e.memory
                     && e.threads + threads <= e.cores * THREADS_PER_CORE;
             boolean told = looks && e.toldAt >= b.lookedAt && e.crowd < 1;
@@ -499,11 +511,6 @@
         b.looked.forEach(e -> host.probe(e.index));
     }
 
-    /** One batch of the first rank may run past the bound: many short ones would starve behind long ones. */
-    private boolean hasFirst(Engine e) {
-        return e.flights.stream().anyMatch(f -> f.priority == FIRST_RANK);
-    }
-
     /**
      * Readers of the same tables go to the same engines, which keep them warm. Loads of the same tables stand
      * still for each other, and readers behind them; no manager sees another's: they divide the engines, from
@@ -538,16 +545,14 @@
     /** Whether rules and health let this batch go to this engine at all. */
     private boolean open(long now, Batch b, Engine e) {
         ServiceGroup is = b.group.is;
-        if (!usable(e) || !allows(is.zones(), e.zone) || !allows(is.kinds(), e.kind)) {
+        if (!usable(e) || !allows(is.zones(), e.zone) || !allows(is.kinds(), e.kind)
+                || b.out.stream().anyMatch(f -> f.engine == e)) {
             return false;
         }
         // A trial costs one repeatable batch at most; a once-only one would be lost with it.
         if (e.health == Health.TRIAL && (!e.flights.isEmpty() || is.effect() != Effect.REPEATABLE)) {
             return false;
         }
-        if (!b.out.isEmpty() && b.out.stream().anyMatch(f -> f.engine == e)) {
-            return false;
-        }
         if ((b.mayHaveRun || !b.out.isEmpty()) && is.effect() == Effect.REFERENCED) {
             Engine first = b.mayHaveRun ? b.firstEngine : b.out.get(0).engine;
             if (is.scope() == Scope.ZONE && first.zone != e.zone
@@ -671,12 +676,9 @@
             if ((row.state == null || row.state == e.health) && row.news == news && row.next != e.health) {
                 e.health = row.next;
                 e.downAt = row.next == Health.DOWN ? now : e.downAt;
-                if (row.act == Act.REST) {
-                    e.restUntil = now + e.rest;
-                    e.rest = Math.min(MOST_REST, e.rest * 2);
-                } else if (row.act == Act.CLEAR) {
-                    e.rest = FIRST_REST;
-                }
+                boolean rests = row.act == Act.REST;
+                e.restUntil = rests ? now + e.rest : e.restUntil;
+                e.rest = rests ? Math.min(MOST_REST, e.rest * 2) : row.act == Act.CLEAR ? FIRST_REST : e.rest;
                 return;
             }
         }
@@ -692,6 +694,11 @@
             quotas.forEach(q -> q.fill(FADE));
             nextFade = now + FADE;
         }
+        if (now >= closesAt) {
+            // What ends with the program gets no answer here, while another manager can still run it.
+            List.copyOf(batches.values()).stream().filter(b -> !b.closed && leave(b).pushBack)
+                    .forEach(this::giveUp);
+        }
         for (Engine e : engines) {
             if (fade) {
                 if (slowness(e) > SLOW) {
@@ -715,7 +722,7 @@
             }
         }
         List<Integer> over = turns.keySet().stream().filter(key -> turns.get(key).isOver(now)).toList();
-        turns.keySet().removeAll(over);
+        over.forEach(turns::remove);
         over.forEach(host::forgetKey);
     }
 
@@ -755,12 +762,8 @@
     // ---- Rules.
     private Leave leave(Batch b) {
         boolean ran = b.mayHaveRun || !b.out.isEmpty();
-        for (Leave leave : LEAVES) {
-            if (leave.effect == b.group.is.effect() && leave.mayHaveRun == ran) {
-                return leave;
-            }
-        }
-        throw new IllegalStateException("no leave for " + b.group.is.effect());
+        return Arrays.stream(LEAVES).filter(l -> l.effect == b.group.is.effect() && l.mayHaveRun == ran)
+                .findFirst().orElseThrow();
     }
 
     private boolean mayGoAgain(long now, Batch b) {
--- a/src/main/java/firstage/door/WorkloadManager.java
+++ b/src/main/java/firstage/door/WorkloadManager.java
@@ -19,6 +19,9 @@
     default void peerSaid(long now, int peer, byte[] words) {
     }
 
+    /** It takes batches for a short while yet, and what has no answer at {@code endsAt} never gets one. */
+    void closing(long now, long endsAt);
+
     void woken(long now, long token);
 
     /** How many of its dispatches it holds to be out at this engine. */
--- a/src/main/java/firstage/net/Assignment.java
+++ b/src/main/java/firstage/net/Assignment.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import firstage.door.Deployment;
+import firstage.door.ServiceGroup;
 import firstage.setup.Fields;
 import firstage.setup.MalformedLine;
 import firstage.setup.Setup;
@@ -24,6 +25,8 @@
 
     /** Descriptors for what is no connection to an engine or a client: files, selectors, the coordinator. */
     private static final int RESERVE = 40;
+    private static final long LONGEST_COUNTED = 30_000;
+    private static final long AFTER_LONGEST = 7_000;
 
     /**
      * How many connections clients may hold, and how many may be held to engines. Clients hold a third of the
@@ -33,6 +36,12 @@
         return descriptors > 0 ? Math.max(1, (descriptors - RESERVE) / 2) : Integer.MAX_VALUE / 2;
     }
 
+    /** After SIGTERM it is killed no sooner: the longest time limit, 3 s where it is longer, and 0.7 s more. */
+    public long endsWithin() {
+        long longest = deployment.groups().stream().mapToLong(ServiceGroup::timeLimit).max().orElse(0);
+        return Math.min(longest, LONGEST_COUNTED) + AFTER_LONGEST;
+    }
+
     /** Reads it; the message of the exception names the fault. */
     public static Assignment read(Path file) throws IOException {
         try (JsonParser in = new JsonFactory().createParser(file.toFile())) {
--- a/src/main/java/firstage/net/Node.java
+++ b/src/main/java/firstage/net/Node.java
@@ -34,6 +34,8 @@
     private static final Logger LOG = Logger.getLogger(Node.class.getName());
     /** After a SIGTERM the front goes on sending for at most 0.6 s. */
     private static final long STILL_SENT_MS = 700;
+    /** Tenths of a millisecond that the last answers may need on their way. */
+    private static final long LAST_WORDS = 3_000;
     private static final long SWEEP_MS = 1_000;
     /** After a client's time is up; its answer must be there 50 ms after it. */
     private static final long OVERDUE_MS = 35;
@@ -97,6 +99,8 @@
             closing = true;
             stillSent = true;
             LOG.info(() -> "closing with " + open + " batches open");
+            long now = clock.now();
+            tell("closing", () -> manager.closing(now, now + assignment.endsWithin() - LAST_WORDS));
             later(STILL_SENT_MS, () -> {
                 stillSent = false;
                 door.close();
@@ -317,9 +321,11 @@
 
     @Override
     public void pushBack(int batch, long comeBack) {
-        if (batches.id(batch).pushedBack(comeBack)) {
+        Exchange x = batches.id(batch);
+        if (x.pushedBack(comeBack)) {
             over("batches pushed back");
         }
+        callOffAll(x);
     }
 
     @Override
--- a/src/main/java/firstage/state/Engine.java
+++ b/src/main/java/firstage/state/Engine.java
@@ -93,6 +93,11 @@
         }
     }
 
+    /** Whether a batch of this priority runs here. */
+    public boolean runs(int priority) {
+        return flights.stream().anyMatch(f -> f.priority == priority);
+    }
+
     /** Whether a load is known to hold these tables here. */
     public boolean holdsLoad(long now, int tables) {
         if (loaded.getOrDefault(tables, 0L) > now) {
--- a/src/test/java/firstage/BrainStoriesTest.java
+++ b/src/test/java/firstage/BrainStoriesTest.java
@@ -50,6 +50,19 @@
         assertThat(host.acts.stream().filter(a -> a.startsWith("pushBack"))).hasSizeGreaterThan(50);
     }
 
+    @Test
+    void whatCannotBeOverBeforeTheProgramEndsIsPushedBackInTime() {
+        host.start(1).take(1, REPORT).take(2, LOAD);
+        host.brain.closing(host.now, host.now + 2 * SECOND);
+        host.take(3, REPORT).take(4, LOOKUP);
+        assertThat(host.acts).contains("pushBack 3", "dispatch 4").doesNotContain("dispatch 3");
+        host.pass(2 * SECOND - 200);
+        assertThat(host.answered(1)).isFalse();
+        host.pass(400);
+        assertThat(host.acts).contains("pushBack 1");
+        assertThat(host.answered(2)).isFalse();
+    }
+
     // ---- Rule 2
     @Test
     void aOnceOnlyBatchThatMayHaveRunIsErroredNotRepeated() {
--- a/src/test/java/firstage/net/ServeIT.java
+++ b/src/test/java/firstage/net/ServeIT.java
@@ -425,6 +425,21 @@
         }
     }
 
+    @Test
+    void afterSigtermWhatRunsTooLongIsPushedBackBeforeTheProgramIsKilled() throws Exception {
+        one.script = seen -> seen.what.startsWith("DELETE") ? "HTTP/1.1 204 No Content\r\n\r\n" : NOTHING_NEW;
+        try (Client c = new Client()) {
+            String path = c.post("report", "", "SELECT 1", 9000).poll();
+            c.write("GET " + path, "", "");
+            long from = System.nanoTime();
+            program.destroy();
+            assertThat(c.read().status).isEqualTo(503);
+            assertThat((System.nanoTime() - from) / 1_000_000).isLessThan(3_600);
+        }
+        assertThat(one.next("DELETE").what).endsWith(job(1));
+        assertThat(program.waitFor()).isZero();
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "400 | POST /ops/nosuch    | X-Job-Id: 00000000000000aa,X-Allow-Ms: 500,X-Team: t|",
