Batches are taken in the order they came; a refused call for news proves nothing while others are up

A trace of keyed dispatches (taken out again) showed 'again REFUSED, end BROKEN' at an engine in its drain, and no other end without its DELETE. Now only a link without any connection up ends its dispatches, by DELETE with a key; a connection rests after a page only; at the cap or in a drain one that rests is taken; clients have a third of the descriptors and 16, engines the rest. At fault: the JDK's selected keys are a HashSet, and a connection handed over is read before those that waited longer. InTurn leaves a new connection's first read to the selector.

--- a/src/main/java/firstage/net/Assignment.java
+++ b/src/main/java/firstage/net/Assignment.java
@@ -25,15 +25,18 @@
 
     /** Descriptors for what is no connection to an engine or a client: files, selectors, the coordinator. */
     private static final int RESERVE = 40;
+    private static final int UNBIDDEN = 16;
     private static final long LONGEST_COUNTED = 30_000;
     private static final long AFTER_LONGEST = 7_000;
 
-    /**
-     * How many connections clients may hold, and how many may be held to engines. Clients hold a third of the
-     * descriptors at most; half of what is left leaves room for some that should not be there.
-     */
-    public int connectionsEach() {
-        return descriptors > 0 ? Math.max(1, (descriptors - RESERVE) / 2) : Integer.MAX_VALUE / 2;
+    /** How many connections clients may hold: they hold a third of the descriptors, and some should not be there. */
+    public int clientConnections() {
+        return descriptors > 0 ? descriptors / 3 + UNBIDDEN : Integer.MAX_VALUE / 2;
+    }
+
+    /** How many connections to engines may be held: what is left. */
+    public int engineConnections() {
+        return descriptors > 0 ? Math.max(1, descriptors - RESERVE - clientConnections()) : Integer.MAX_VALUE / 2;
     }
 
     /** After SIGTERM it is killed no sooner: the longest time limit, 3 s where it is longer, and 0.7 s more. */
--- a/src/main/java/firstage/net/Node.java
+++ b/src/main/java/firstage/net/Node.java
@@ -77,6 +77,7 @@
     /** Starts serving; returns once clients can connect. */
     public void start() throws IOException {
         io.execute(() -> {
+            FirstCome.order(io);
             follower.follow(assignment);
             sweep();
         });
--- a/src/main/java/firstage/net/clients/ClientDoor.java
+++ b/src/main/java/firstage/net/clients/ClientDoor.java
@@ -95,7 +95,7 @@
         this.counters = counters;
         this.tidings = tidings;
         this.address = assignment.listen();
-        mostConnections = assignment.connectionsEach();
+        mostConnections = assignment.clientConnections();
         callers = new Callers(io, counters, mostConnections);
         Fields settings = assignment.settings();
         for (int i = 0; i < settings.index("classes.count", 0); i++) {
@@ -127,6 +127,7 @@
     private void opened(StreamConnection connection) {
         if (callers.opens(connection)) {
             connection.getSinkChannel().setConduit(new FaultLine(connection.getSinkChannel().getConduit()));
+            connection.getSourceChannel().setConduit(new InTurn(connection.getSourceChannel().getConduit()));
             http.handleEvent(connection);
             callers.watch(connection);
         }
--- a/src/main/java/firstage/net/engines/Connection.java
+++ b/src/main/java/firstage/net/engines/Connection.java
@@ -25,6 +25,8 @@
     private boolean closed;
     /** When its last call ended. */
     long idleSince;
+    /** Until when a second copy of its last answer may come. */
+    long restsUntil;
 
     /** {@code shared} is one buffer of the thread, empty between events. */
     Connection(Link link, XnioIoThread io, ByteBuffer shared, StreamConnection channel) {
@@ -125,7 +127,7 @@
             close();
             link.gone(this);
         } else {
-            link.idle(this);
+            link.idle(this, response.status() == 200);
         }
         over.answered(response);
     }
--- a/src/main/java/firstage/net/engines/Engines.java
+++ b/src/main/java/firstage/net/engines/Engines.java
@@ -44,12 +44,16 @@
         probeMs = connectMs;
         long keepalive = assignment.settings().time("limits.keepalive");
         mostIdle = (keepalive > 0 ? keepalive : DEFAULT_KEEPALIVE) / 2;
-        cap = assignment.connectionsEach();
+        cap = assignment.engineConnections();
+    }
+
+    boolean full() {
+        return slots >= cap;
     }
 
     /** Room for one more connection; where there is none, an idle one of another engine gives way. */
     boolean takeSlot() {
-        if (slots >= cap && connected.stream().noneMatch(Link::closeOldest)) {
+        if (full() && connected.stream().noneMatch(Link::closeOldest)) {
             counters.count("connections not had");
             return false;
         }
--- a/src/main/java/firstage/net/engines/Link.java
+++ b/src/main/java/firstage/net/engines/Link.java
@@ -20,7 +20,10 @@
 final class Link {
     /** Tenths of a millisecond: engines answer a call for news after 250 ms, and the way there and back. */
     private static final long TRUSTED = 4_000;
-    /** Tenths of a millisecond between an answer and the next call: a second copy of it shows within that. */
+    /**
+     * Tenths of a millisecond between a page and the next call: a second copy of it shows within that. A copy of
+     * other answers tells nothing that could be taken for another's rows.
+     */
     private static final long REST = 100;
     private final Engines engines;
     private final Clock clock;
@@ -62,7 +65,7 @@
             engines.io.execute(() -> call.failed(Call.Failure.UNWANTED));
             return;
         }
-        Connection ready = fresh ? null : rested();
+        Connection ready = fresh ? null : ready();
         if (ready != null) {
             ready.send(call, host);
         } else if (engines.takeSlot()) {
@@ -72,12 +75,18 @@
         }
     }
 
-    /** The idle connection that was used last, but for those that have just been and those with something amiss. */
-    private Connection rested() {
+    /** An idle connection; one that rests where it must be: a draining engine may take no new connections. */
+    private Connection ready() {
+        Connection rested = latest(clock.now());
+        return rested == null && (leaving || engines.full()) ? latest(Long.MAX_VALUE) : rested;
+    }
+
+    /** The idle connection that was used last, of those that rest until then, with nothing amiss. */
+    private Connection latest(long restsUntil) {
         Iterator<Connection> latest = idle.descendingIterator();
         while (latest.hasNext()) {
             Connection c = latest.next();
-            if (clock.now() - c.idleSince >= REST) {
+            if (c.restsUntil <= restsUntil) {
                 latest.remove();
                 if (c.quiet()) {
                     return c;
@@ -118,7 +127,7 @@
             if (call.wanted()) {
                 c.send(call, host);
             } else {
-                idle(c);
+                idle(c, false);
                 call.failed(Call.Failure.UNWANTED);
             }
         } catch (IOException fault) {
@@ -127,17 +136,23 @@
         }
     }
 
+    /** Whether a connection to it is up: a dying process resets all. */
+    boolean lives() {
+        return !all.isEmpty();
+    }
+
     /** Its connections: in use, idle, or coming up. */
     int held() {
         return all.size() + connecting;
     }
 
-    void idle(Connection c) {
+    void idle(Connection c, boolean rests) {
         if (closed) {
             c.close();
             gone(c);
         } else {
             c.idleSince = clock.now();
+            c.restsUntil = c.idleSince + (rests ? REST : 0);
             idle.addLast(c);
         }
     }
--- a/src/main/java/firstage/net/engines/Run.java
+++ b/src/main/java/firstage/net/engines/Run.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * A dispatch at its engine: started, asked for without pause (an engine drops what nobody asks for in 2 s), its
@@ -52,6 +53,7 @@
     private boolean known;
     private boolean givenUp;
     private Outcome givenUpAs;
+    private boolean told;
     private boolean over;
     private int priority;
     private Report report;
@@ -122,7 +124,7 @@
                     }
                     case REFUSED, UNREACHED -> end(Outcome.NO_CONNECTION);
                     case NO_ROOM, UNWANTED -> end(Outcome.NOT_SENT);
-                    default -> again(f, () -> ask(true));
+                    default -> again(f, Run.this::ask);
                 }
             }
         });
@@ -148,29 +150,31 @@
 
             @Override
             void failed(Failure f) {
-                again(f, () -> ask(true));
+                again(f, Run.this::ask);
             }
         }, fresh);
     }
 
     /**
-     * A refused connection: its process has ended, and what ran there with it. Else it is asked again: an answer
-     * that broke off, was spoilt or never came is lost, but what it told is not, for the engine gives it again.
+     * A process that ended refuses connections and has reset all it had, and what ran there ended with it; one that
+     * drains may refuse new ones and runs on. Else it is asked again: an answer that broke off, was spoilt or never
+     * came is lost, but what it told is not, for the engine gives it again.
      */
-    private void again(Call.Failure f, Runnable asking) {
+    private void again(Call.Failure f, Consumer<Boolean> asking) {
         if (over || givenUp) {
             return;
         }
         unreadable += f == Call.Failure.MALFORMED ? 1 : 0;
-        if (f == Call.Failure.REFUSED) {
-            end(Outcome.BROKEN);
+        boolean refused = f == Call.Failure.REFUSED;
+        if (refused && !link.lives()) {
+            giveUp(Outcome.BROKEN);
         } else if (unreadable >= MOST_UNREADABLE) {
             // It may run on unseen: its engine is told to end it.
             giveUp(Outcome.ERRORED);
         } else {
             // The first time at once: a process that died resets its connections, and refuses the next.
-            long pause = failures++ == 0 ? 0 : PAUSE_MS;
-            engines.io.executeAfter(asking, pause, TimeUnit.MILLISECONDS);
+            long pause = failures++ == 0 && !refused ? 0 : PAUSE_MS;
+            engines.io.executeAfter(() -> asking.accept(!refused), pause, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -195,7 +199,7 @@
                 if (pageCount > 0 && pageCount <= MOST_PAGES && r.isPage()) {
                     page(r);
                 } else {
-                    unusable(() -> ask(true));
+                    unusable(this::ask);
                 }
             }
             case 503, 504 -> end(r.neverRan() ? Outcome.TURNED_AWAY : Outcome.ERRORED);
@@ -211,7 +215,7 @@
         known = true;
     }
 
-    private void unusable(Runnable asking) {
+    private void unusable(Consumer<Boolean> asking) {
         engines.counters.count("pages that can't be used");
         again(Call.Failure.MALFORMED, asking);
     }
@@ -259,13 +263,13 @@
                 } else if (r.whole("page-no", -1) == wanted && r.isPage()) {
                     page(r);
                 } else {
-                    unusable(() -> fetch(true));
+                    unusable(Run.this::fetch);
                 }
             }
 
             @Override
             void failed(Failure f) {
-                again(f, () -> fetch(true));
+                again(f, Run.this::fetch);
             }
         }, fresh);
     }
@@ -312,9 +316,10 @@
     }
 
     private void delete(Outcome how, boolean fresh) {
-        if (over && fresh) {
+        if (over && told) {
             return;
         }
+        told = true;
         link.call(new Call("DELETE /x/" + x.id, null, DELETE_MS) {
             @Override
             void answered(Response r) {
@@ -323,10 +328,10 @@
 
             @Override
             void failed(Failure f) {
-                if (f == Failure.REFUSED) {
+                if (f == Failure.REFUSED && !link.lives() && !x.keyed) {
                     end(how);
                 } else {
-                    engines.io.executeAfter(() -> delete(how, true), PAUSE_MS, TimeUnit.MILLISECONDS);
+                    engines.io.executeAfter(() -> delete(how, f != Failure.REFUSED), PAUSE_MS, TimeUnit.MILLISECONDS);
                 }
             }
         }, fresh);
--- a/src/test/java/firstage/net/ServeIT.java
+++ b/src/test/java/firstage/net/ServeIT.java
@@ -209,6 +209,24 @@
         assertThat(one.seen.stream().map(m -> m.what.substring(0, 4))).containsExactly("GET ", "DELE", "POST");
     }
 
+    @Test
+    void aRefusedCallForNewsProvesNothingWhileAnotherConnectionToTheEngineIsUp() throws Exception {
+        String page = "GET /x/" + job(2) + "/1";
+        one.script = seen -> {
+            if (seen.what.equals(page) && !one.server.isClosed()) {
+                quietly(one.server);
+                return RESET;
+            }
+            return seen.what.equals(page) ? page("Page-No: 1", "")
+                    : job(2).equals(seen.headers.get("x-ticket")) ? page("Page-Count: 2", "a\tb\tc\n") : NOTHING_NEW;
+        };
+        try (Client c = new Client(); Client other = new Client()) {
+            other.write("POST /ops/report", other.fields("report", 9000), "SELECT 1");
+            one.next("GET /x");
+            assertThat(c.follow(c.post("load", "X-Item: 7f\r\n", "INSERT INTO sales_3.t", 5000)).status).isEqualTo(200);
+        }
+    }
+
     @Test
     void aRefusedConnectionProvesThatNothingRan() throws Exception {
         one.close();
