--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -12,7 +12,7 @@
 /**
  * All decisions of one workload manager. Callers tell it news through {@link WorkloadManager} and end each
  * moment with {@link #turn}; it acts through {@link Host}. Interface and types stand in firstage.door; times
- * are whole tenths of a millisecond. Reading order: constants, tables, news, release, choice, health, rules.
+ * are whole tenths of a millisecond.
  * On the ordinary path (docs/design.md) each batch reserves its grant on our slice of one engine's memory and
  * its threads under an adaptive bound, or waits in a bounded FIFO queue until there is room.
  */
@@ -68,6 +68,7 @@
     private static final double FIRST_BEST = 2.5; // latency over estimate: a first jam must not pass as calm
     private static final double BEST_OF_TRUTH = 1.2; // the same over the told true work: a core to a thread
     private static final double BEST_DRIFT = 1.002; // a FADE: an old best fades in minutes, after any jam
+    private static final long KEPT = 600_000; // an engine that left: it may come back, and mostly does not
     private static final int PIECES = 20; // of a rule's window: what is in doubt is counted on the safe side
 
     // ---- Tables.
@@ -128,7 +129,7 @@
     private final Mean worth = new Mean(GROUP_SAMPLES);
     private final long notePace;
     private final List<Quota> quotas;
-    private final List<Engine> engines = new ArrayList<>();
+    private final Map<Integer, Engine> engines = new LinkedHashMap<>();
     private final Map<Integer, Batch> batches = new HashMap<>();
     private final TreeMap<Long, Batch> held = new TreeMap<>();
     private final Map<Integer, Turn> turns = new HashMap<>();
@@ -288,7 +289,7 @@
     public void listed(long now, EngineList list) {
         subscribe |= list.kind() == EngineList.Kind.FAILED;
         if (list.kind() == EngineList.Kind.WHOLE || list.kind() == EngineList.Kind.REMEMBERED) {
-            engines.forEach(e -> e.standing = Standing.LEFT);
+            engines.values().forEach(e -> e.standing = Standing.LEFT);
         }
         stirred = true;
         for (EngineList.Entry entry : list.entries()) {
@@ -386,8 +387,8 @@
     }
 
     private int room() {
-        int cores = engines.stream().filter(e -> e.standing == Standing.ACTIVE).mapToInt(e -> e.cores).sum();
-        return (int) Math.max(HELD_PER_CORE, cores * share * HELD_PER_CORE);
+        int all = engines.values().stream().mapToInt(e -> e.standing == Standing.ACTIVE ? e.cores : 0).sum();
+        return (int) Math.max(HELD_PER_CORE, all * share * HELD_PER_CORE);
     }
 
     /**
@@ -443,7 +444,7 @@
         }
         double bounds = 0;
         int out = 0;
-        for (Engine e : engines) {
+        for (Engine e : engines.values()) {
             bounds += usable(e) ? e.bound : 0;
             out += e.threads;
         }
@@ -459,7 +460,7 @@
         }
         Engine best = null;
         double most = Double.NEGATIVE_INFINITY;
-        for (Engine e : looks ? b.looked : engines) {
+        for (Engine e : looks ? b.looked : engines.values()) {
             if (!open(now, b, e)) {
                 continue;
             }
@@ -505,7 +506,7 @@
 
     private void look(long now, Batch b) {
         b.lookedAt = now;
-        List<Engine> from = new ArrayList<>(engines.stream().filter(e -> open(now, b, e)).toList());
+        List<Engine> from = new ArrayList<>(engines.values().stream().filter(e -> open(now, b, e)).toList());
         b.looked = chance.ints(Math.min(LOOKS, from.size()), 0, Integer.MAX_VALUE)
                 .mapToObj(i -> from.remove(i % from.size())).toList();
         b.looked.forEach(e -> host.probe(e.index));
@@ -513,9 +514,8 @@
 
     /**
      * Readers of the same tables go to the same engines, which keep them warm. Loads of the same tables stand
-     * still for each other, and readers behind them; no manager sees another's: they divide the engines, from
-     * the coldest for the tables on, by the managers' numbers; that outweighs free room. Where our part
-     * of an engine is under this batch, all managers see the same empty engines: chance keeps them apart.
+     * still for each other, and readers behind them: managers divide the engines, the coldest for the tables
+     * first, by their numbers. Where our part of an engine is under this batch, chance keeps managers apart.
      */
     private double nearness(Batch b, Engine e, double[] loadOrder) {
         double affinity = e.affinity(b.is.tables());
@@ -529,13 +529,13 @@
     /** The active engines' affinities to a load's tables, coldest first; null for other batches. */
     private double[] loadOrder(Batch b) {
         return !b.group.is.load() || b.is.tables() < 0 ? null
-                : engines.stream().filter(e -> e.standing == Standing.ACTIVE)
+                : engines.values().stream().filter(e -> e.standing == Standing.ACTIVE)
                         .mapToDouble(e -> e.affinity(b.is.tables())).sorted().toArray();
     }
 
     @Override
     public int out(int engine) {
-        return engine(engine).flights.size();
+        return engines.containsKey(engine) ? engine(engine).flights.size() : 0;
     }
 
     private static boolean usable(Engine e) {
@@ -699,7 +699,7 @@
             List.copyOf(batches.values()).stream().filter(b -> !b.closed && leave(b).pushBack)
                     .forEach(this::giveUp);
         }
-        for (Engine e : engines) {
+        for (Engine e : engines.values()) {
             if (fade) {
                 if (slowness(e) > SLOW) {
                     press(now, e);
@@ -721,6 +721,10 @@
                 rescue(now, f);
             }
         }
+        // With each release engines leave for good: what is known of them would pile up.
+        List<Integer> left = engines.keySet().stream().filter(id -> engine(id).leftFor(now) > KEPT).toList();
+        left.forEach(engines::remove);
+        left.forEach(host::forgetEngine);
         List<Integer> over = turns.keySet().stream().filter(key -> turns.get(key).isOver(now)).toList();
         over.forEach(turns::remove);
         over.forEach(host::forgetKey);
@@ -810,10 +814,7 @@
         }
     }
 
-    private Engine engine(int index) {
-        while (engines.size() <= index) {
-            engines.add(new Engine(engines.size(), FIRST_REST, new Tally(rules.fall(), PIECES)));
-        }
-        return engines.get(index);
+    private Engine engine(int id) {
+        return engines.computeIfAbsent(id, i -> new Engine(i, FIRST_REST, new Tally(rules.fall(), PIECES)));
     }
 }
--- a/src/main/java/firstage/benchlink/Seat.java
+++ b/src/main/java/firstage/benchlink/Seat.java
@@ -193,6 +193,11 @@
         keys.release(key);
     }
 
+    @Override
+    public void forgetEngine(int engine) {
+        engines.release(engine);
+    }
+
     @Override
     public void probe(int engine) {
         line("TEST").append(" engine=").append(engines.id(engine)).append('\n');
--- a/src/main/java/firstage/door/Host.java
+++ b/src/main/java/firstage/door/Host.java
@@ -20,6 +20,9 @@
     /** No batch waits for this key and it has rested: its index may serve again. */
     void forgetKey(int key);
 
+    /** The engine left long ago and has no dispatch out: its index may serve again. */
+    void forgetEngine(int engine);
+
     void probe(int engine);
 
     void tellPeers(byte[] words);
--- a/src/main/java/firstage/net/Node.java
+++ b/src/main/java/firstage/net/Node.java
@@ -349,6 +349,12 @@
         keys.release(key);
     }
 
+    @Override
+    public void forgetEngine(int engine) {
+        ids.release(engine);
+        engines.forget(engine);
+    }
+
     @Override
     public void probe(int engine) {
         engines.probe(engine);
--- a/src/main/java/firstage/net/engines/Engines.java
+++ b/src/main/java/firstage/net/engines/Engines.java
@@ -100,7 +100,13 @@
         }
     }
 
-    /** How many engines were ever listed. */
+    /** It left long ago; its connections ended with it. */
+    public void forget(int index) {
+        counters.hold(out.get(index) == 0, "an engine that is forgotten has nothing out");
+        links.set(index, null);
+    }
+
+    /** How many engines were ever listed at once. */
     public int count() {
         return links.size();
     }
--- a/src/main/java/firstage/net/engines/Run.java
+++ b/src/main/java/firstage/net/engines/Run.java
@@ -183,7 +183,8 @@
             return;
         }
         failures = 0;
-        report = Engines.report(r) == null ? report : Engines.report(r);
+        // The latest word only: an earlier one would pass for news when the dispatch ends.
+        report = Engines.report(r);
         switch (r.status()) {
             case 202 -> {
                 note(r);
--- a/src/main/java/firstage/state/Engine.java
+++ b/src/main/java/firstage/state/Engine.java
@@ -16,6 +16,8 @@
     public int cell;
     public Standing standing = Standing.LEFT;
     public long since;
+    /** Since when it is known to have left, with nothing out; 0 if it has not. */
+    private long leftSince;
     public int cores;
     public double memory;
     public double slice;
@@ -78,6 +80,13 @@
         return Math.max(since, downAt);
     }
 
+    /** How long it has been off the list with nothing out; asked now and then, it counts from the first time. */
+    public long leftFor(long now) {
+        boolean left = standing == Standing.LEFT && flights.isEmpty();
+        leftSince = !left ? 0 : leftSince == 0 ? now : leftSince;
+        return left ? now - leftSince : 0;
+    }
+
     /** Reserves what the dispatch needs. */
     public void take(Flight f) {
         reserved += f.grant;
--- a/src/test/java/firstage/BrainStoriesTest.java
+++ b/src/test/java/firstage/BrainStoriesTest.java
@@ -63,6 +63,19 @@
         assertThat(host.answered(2)).isFalse();
     }
 
+    @Test
+    void anEngineThatLeftLongAgoIsForgottenOnceNothingIsOutThere() {
+        host.start(2).take(1, LOOKUP);
+        host.change(host.on(1), Standing.LEFT, 0).change(1 - host.on(1), Standing.LEAVING, 0).pass(90 * SECOND);
+        assertThat(host.acts).noneMatch(a -> a.startsWith("forgetEngine"));
+        host.end(1, Outcome.RETURNED);
+        for (int batch = 2; batch < 6; batch++) {
+            host.take(batch, LOAD).pass(20 * SECOND);
+        }
+        assertThat(host.acts.stream().filter(a -> a.startsWith("forgetEngine")))
+                .containsExactly("forgetEngine " + host.on(1));
+    }
+
     // ---- Rule 2
     @Test
     void aOnceOnlyBatchThatMayHaveRunIsErroredNotRepeated() {
--- a/src/test/java/firstage/FakeHost.java
+++ b/src/test/java/firstage/FakeHost.java
@@ -182,6 +182,11 @@
         acts.add("forgetKey " + key);
     }
 
+    @Override
+    public void forgetEngine(int engine) {
+        acts.add("forgetEngine " + engine);
+    }
+
     @Override
     public void probe(int engine) {
         acts.add("probe " + engine);
