A close under what a client still sends reads off a little first; SIGHUP heeds only this manager's file

At fault: ClientDoor.endWith closed 200 ms later with bytes unread, and the reset can take the answer back from a client that reads late; now 256 kB are read off for 300 ms at most. Main took any readable configuration; one with another name or address to listen on is now another manager's: one warning, nothing changes. The story of SIGHUP waits for events, not sleeps.

--- a/src/main/java/firstage/app/Main.java
+++ b/src/main/java/firstage/app/Main.java
@@ -41,9 +41,10 @@
             }
             // By itself a JVM ends on SIGHUP; one that ignores it once can't be told to listen again.
             Signal.handle(HUP, early -> LOG.info("a configuration is being read"));
-            Node node = new Node(Assignment.read(Path.of(file)));
+            Assignment told = Assignment.read(Path.of(file));
+            Node node = new Node(told);
             Signal.handle(new Signal("TERM"), signal -> node.close());
-            Signal.handle(HUP, signal -> readAnew(node, Path.of(file)));
+            Signal.handle(HUP, signal -> readAnew(node, Path.of(file), told));
             node.start();
         } catch (IOException | RuntimeException fault) {
             end("can't serve: " + String.valueOf(fault.getMessage()).lines().findFirst().orElse(""));
@@ -51,9 +52,14 @@
     }
 
     /** On the signal's own thread. One that can't be read changes nothing: the program serves on as it is. */
-    private static void readAnew(Node node, Path file) {
+    private static void readAnew(Node node, Path file, Assignment first) {
         try {
-            node.told(Assignment.read(file));
+            Assignment next = Assignment.read(file);
+            if (next.name().equals(first.name()) && next.listen().equals(first.listen())) {
+                node.told(next);
+            } else {
+                LOG.warning("the new configuration is another manager's: " + next.name() + " at " + next.listen());
+            }
         } catch (IOException | RuntimeException fault) {
             LOG.warning("the new configuration can't be read: " + fault.getMessage());
         }
--- a/src/main/java/firstage/net/clients/ClientDoor.java
+++ b/src/main/java/firstage/net/clients/ClientDoor.java
@@ -8,6 +8,7 @@
 import firstage.setup.Fields;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
+import io.undertow.connector.PooledByteBuffer;
 import io.undertow.io.IoCallback;
 import io.undertow.io.Receiver;
 import io.undertow.io.Sender;
@@ -53,8 +54,9 @@
     private static final int IN_HAND = 8;
     /** From the end of its head to the end of a statement. */
     private static final int MOST_PARSE_MS = 2_000;
-    /** An answer to what can't be read may be read so long; then the connection is closed under what still comes. */
-    private static final int LAST_READ_MS = 200;
+    /** After the last answer on a connection so much is read off for so long: a close at once could take it back. */
+    private static final int READ_OFF_MS = 300;
+    private static final int MOST_READ_OFF = 256 * 1024;
     /** Work in ms or memory in MB: a year on one core, and a thousand engines' memory. */
     private static final double MOST_FIGURE = 3e10;
     /** Times its group's time limit: so long no client waits; clocks and rounding need far less. */
@@ -276,8 +278,8 @@
     }
 
     /**
-     * The same, and the connection ends with it. What still comes is not read: Undertow would drain a body first,
-     * for as long as a client that never ends it sends, on the one thread that serves all others.
+     * The same, and the connection ends with it. Of what still comes little is read: Undertow would drain a body
+     * first, for as long as a client that never ends it sends, on the one thread that serves all others.
      */
     void endWith(HttpServerExchange x, int status, String why) {
         counters.count("calls answered " + status);
@@ -289,7 +291,7 @@
         send(x, line(why), new IoCallback() {
             @Override
             public void onComplete(HttpServerExchange over, Sender sender) {
-                io.executeAfter(() -> IoUtils.safeClose(over.getConnection()), LAST_READ_MS, TimeUnit.MILLISECONDS);
+                readOff((AbstractServerConnection) over.getConnection());
             }
 
             @Override
@@ -299,6 +301,23 @@
         });
     }
 
+    private void readOff(AbstractServerConnection connection) {
+        int[] left = {MOST_READ_OFF};
+        io.executeAfter(() -> IoUtils.safeClose(connection), READ_OFF_MS, TimeUnit.MILLISECONDS);
+        connection.getChannel().getSourceChannel().setReadListener(source -> {
+            try (PooledByteBuffer pooled = connection.getByteBufferPool().allocate()) {
+                int n = connection.getOriginalSourceConduit().read(pooled.getBuffer());
+                left[0] -= n;
+                if (n < 0 || left[0] <= 0) {
+                    IoUtils.safeClose(connection);
+                }
+            } catch (IOException fault) {
+                IoUtils.safeClose(connection);
+            }
+        });
+        connection.getOriginalSourceConduit().resumeReads();
+    }
+
     private static ByteBuffer line(String why) {
         return ByteBuffer.wrap(("{\"err\":\"" + why + "\"}\n").getBytes(StandardCharsets.US_ASCII));
     }
--- a/src/test/java/firstage/net/ServeIT.java
+++ b/src/test/java/firstage/net/ServeIT.java
@@ -73,6 +73,17 @@
         }
     }
 
+    private void hangUp(String text) throws Exception {
+        Files.writeString(config, text);
+        new ProcessBuilder("kill", "-HUP", String.valueOf(program.pid())).start().waitFor();
+    }
+
+    private void awaitLog(String line) throws Exception {
+        while (!Files.readString(folder.resolve("log")).contains(line)) {
+            Thread.sleep(20);
+        }
+    }
+
     @AfterEach
     void stop() throws Exception {
         program.destroyForcibly().waitFor();
@@ -338,13 +349,14 @@
         StandInCoordinator next = new StandInCoordinator();
         StandInEngine two = new StandInEngine();
         String now = Files.readString(config).replace(":" + coordinator.port() + "\"", ":" + next.port() + "\"");
-        for (String text : List.of("{\"listen\":", now, now)) {
-            Files.writeString(config, text);
-            new ProcessBuilder("kill", "-HUP", String.valueOf(program.pid())).start().waitFor();
-            Thread.sleep(200);
+        hangUp("{\"listen\":");
+        awaitLog("can't be read");
+        hangUp(now.replace("\"name\":\"m\"", "\"name\":\"other\""));
+        awaitLog("another manager's");
+        for (int i = 0; i < 2; i++) {
+            hangUp(now);
+            assertThat(next.asked.take()).isEqualTo(2L);
         }
-        assertThat(next.asked.take()).isEqualTo(2L);
-        assertThat(next.asked.take()).isEqualTo(2L);
         next.tell(3, record(2, two.port(), 0));
         two.awaitUse(this);
         assertThat(coordinator.asked).isEmpty();
@@ -404,6 +416,16 @@
         assertThat(Files.readString(folder.resolve("log"))).contains("batches returned=2").doesNotContain("broken:");
     }
 
+    @Test
+    void aStatementThatIsTooLongIsReadOffSoThatItsClientHearsWhy() throws Exception {
+        try (Client c = new Client()) {
+            c.write("POST /ops/lookup", c.fields("lookup", 5000), "a".repeat(200_000));
+            Thread.sleep(500);
+            assertThat(c.read().status).isEqualTo(413);
+            assertThat(c.socket.getInputStream().read()).isEqualTo(-1);
+        }
+    }
+
     @Test
     void anIdOfAnOpenBatchIsTurnedAwayAndTheBatchGoesOn() throws Exception {
         one.script = seen -> NOTHING_NEW;
