Order of taking rests on a barrier, not on the selector; a start outlives what passes

Change: connections are accepted on the I/O thread (OneThreadServer); a keyed batch is told to Brain once all that had come before it was read is read, shown by a byte through a pipe of the thread's own (Barrier); another of its key that turns up meanwhile is pushed back, ahead of the first (TakingOrder, Arrival.turnUnknown). A configuration that is cut or missing and an address that is held are tried again for 3 and 10 s, also on SIGHUP (app.Serve); one that came before the start is not lost.

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -60,6 +60,7 @@
     private static final double CROWDING = 500; // of a full engine, in steps of rank: above any own room
     private static final long FRESH = 50_000; // what an engine told fades over this: about a long batch
     private static final double OWN_PLACE = 30; // in steps of rank: above any free room, below fitting
+    private static final long TURN_REST = 500; // until a pushback out of turn is with its client
     private static final long COME_BACK = 5_000; // a client should stay away: half a queue clears in it
     private static final long FADE = 10_000; // between halvings of slowness: old samples are gone in seconds
     private static final long CUSTOMER_SPAN = 50_000; // of its share may be used at once: bursts are no abuse
@@ -176,7 +177,10 @@
     @Override
     public void taken(long now, Arrival arrival) {
         Batch b = new Batch(arrival, groups.get(arrival.group()), arrivals++, now);
-        if (b.key >= 0) {
+        if (b.key >= 0 && arrival.turnUnknown()) {
+            Turn turn = turns.computeIfAbsent(b.key, k -> new Turn());
+            turn.restUntil = Math.max(turn.restUntil, now + TURN_REST);
+        } else if (b.key >= 0) {
             turns.computeIfAbsent(b.key, k -> new Turn()).line.add(b);
         } else if (arrival.key() >= 0 && !turns.containsKey(arrival.key())) {
             host.forgetKey(arrival.key());
@@ -188,8 +192,13 @@
         worth.add(is.utility());
         batches.put(arrival.batch(), b);
         stirred = true;
-        held.put(b.order, b);
         taken.add(now, 1);
+        if (b.key >= 0 && arrival.turnUnknown()) {
+            // Run in the wrong turn it would break its key's order unseen; not run, it harms nobody.
+            giveUp(b);
+        } else {
+            held.put(b.order, b);
+        }
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/firstage/app/Serve.java
@@ -0,0 +1,118 @@
+package firstage.app;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import firstage.net.Assignment;
+import firstage.net.Node;
+import firstage.setup.MalformedLine;
+import java.io.FileNotFoundException;
+import java.io.IOException;
+import java.net.BindException;
+import java.nio.file.Path;
+import java.util.concurrent.Semaphore;
+import java.util.logging.Logger;
+import sun.misc.Signal;
+
+/**
+ * {@code serve}: one workload manager, until SIGTERM. What passes by itself does not fail a start nor a SIGHUP: a
+ * configuration that is cut or missing while it is replaced, an address that the manager before still holds. Each is
+ * logged once and tried again for a stated time.
+ */
+final class Serve {
+    private static final Logger LOG = Logger.getLogger(Serve.class.getName());
+    private static final String ASSIGNMENT = "ROUTER_CONFIG";
+    /** A file is replaced in milliseconds; on a full machine a writer may lose the processor for a second. */
+    private static final long FILE_PATIENCE_MS = 3_000;
+    /** A process that was killed under load holds its address until all it had is taken down. */
+    private static final long ADDRESS_PATIENCE_MS = 10_000;
+    private static final long AGAIN_MS = 25;
+
+    private interface Step<T> {
+        T run() throws IOException;
+    }
+
+    /** Calls that came before there was a manager to tell, or while one was read. */
+    private final Semaphore hangUps = new Semaphore(0);
+    private final Path file;
+
+    private Serve(Path file) {
+        this.file = file;
+    }
+
+    /** Returns once it serves; the message of the exception names what did not pass. */
+    static void run() throws IOException {
+        String file = System.getenv(ASSIGNMENT);
+        if (file == null) {
+            throw new MalformedLine("no configuration: " + ASSIGNMENT + " is not set");
+        }
+        new Serve(Path.of(file)).start();
+    }
+
+    private void start() throws IOException {
+        // By itself a JVM ends on SIGHUP; one that ignores it once can't be told to listen again.
+        Signal.handle(new Signal("HUP"), signal -> hangUps.release());
+        Assignment told = read();
+        Node node = new Node(told);
+        Signal.handle(new Signal("TERM"), signal -> node.close());
+        patiently(ADDRESS_PATIENCE_MS, () -> {
+            node.start();
+            return null;
+        });
+        Thread reader = new Thread(() -> readAnew(node, told), "configuration");
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private Assignment read() throws IOException {
+        return patiently(FILE_PATIENCE_MS, () -> Assignment.read(file));
+    }
+
+    private static <T> T patiently(long patienceMs, Step<T> step) throws IOException {
+        long until = System.nanoTime() + patienceMs * 1_000_000;
+        boolean told = false;
+        while (true) {
+            try {
+                return step.run();
+            } catch (IOException fault) {
+                if (!passes(fault) || System.nanoTime() > until) {
+                    throw fault;
+                }
+                if (!told) {
+                    LOG.warning("tried again for " + patienceMs + " ms: " + Main.oneLine(fault));
+                    told = true;
+                }
+                rest();
+            }
+        }
+    }
+
+    private static boolean passes(IOException fault) {
+        return fault instanceof JsonProcessingException || fault instanceof FileNotFoundException
+                || fault instanceof BindException;
+    }
+
+    private static void rest() {
+        try {
+            Thread.sleep(AGAIN_MS);
+        } catch (InterruptedException fault) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** On a thread of its own, since it may wait for a file: one that can't be read changes nothing. */
+    private void readAnew(Node node, Assignment first) {
+        while (true) {
+            hangUps.acquireUninterruptibly();
+            hangUps.drainPermits();
+            try {
+                Assignment next = read();
+                if (next.name().equals(first.name()) && next.listen().equals(first.listen())) {
+                    node.told(next);
+                } else {
+                    LOG.warning("the new configuration is another manager's: " + next.name() + " at " + next.listen());
+                }
+            } catch (IOException | RuntimeException fault) {
+                LOG.warning("the new configuration can't be read: " + Main.oneLine(fault));
+            }
+        }
+    }
+}
--- a/src/main/java/firstage/net/Assignment.java
+++ b/src/main/java/firstage/net/Assignment.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.io.JsonEOFException;
 import firstage.door.Deployment;
 import firstage.door.ServiceGroup;
 import firstage.setup.Fields;
@@ -48,7 +49,9 @@
     /** Reads it; the message of the exception names the fault. */
     public static Assignment read(Path file) throws IOException {
         try (JsonParser in = new JsonFactory().createParser(file.toFile())) {
-            in.nextToken();
+            if (in.nextToken() == null) {
+                throw new JsonEOFException(in, null, file + " is empty");
+            }
             if (!(value(in) instanceof Map<?, ?> all) || !(all.get("settings") instanceof Map<?, ?> settings)) {
                 throw new MalformedLine("no settings");
             }
--- a/src/main/java/firstage/net/Node.java
+++ b/src/main/java/firstage/net/Node.java
@@ -9,6 +9,7 @@
 import firstage.door.Outcome;
 import firstage.door.Report;
 import firstage.door.WorkloadManager;
+import firstage.life.TakingOrder;
 import firstage.net.clients.ClientDoor;
 import firstage.net.engines.Engines;
 import firstage.net.list.Follower;
@@ -52,6 +53,8 @@
     private final Engines engines;
     private final ClientDoor door;
     private final Follower follower;
+    private final Barrier barrier;
+    private final TakingOrder<Came> order = new TakingOrder<>(new Readings());
     private final Indices<Exchange> batches = new Indices<>();
     private final Indices<String> keys = new Indices<>();
     private final Indices<Long> ids = new Indices<>();
@@ -70,18 +73,20 @@
         io = worker.getIoThread();
         engines = new Engines(io, clock, counters, this, assignment);
         door = new ClientDoor(io, clock, counters, this, assignment);
+        barrier = new Barrier(io, counters);
         follower = new Follower(io, clock, counters, this, assignment);
         manager = new Brain(assignment.deployment(), this);
     }
 
-    /** Starts serving; returns once clients can connect. */
+    /** Starts serving; returns once clients can connect. Where the address is held, it may be tried again. */
     public void start() throws IOException {
+        door.listen(worker);
         io.execute(() -> {
-            FirstCome.order(io);
+            barrier.start();
             follower.follow(assignment);
+            door.accept();
             sweep();
         });
-        door.listen(worker);
         LOG.info(() -> assignment.name() + " listens on " + assignment.listen());
     }
 
@@ -111,7 +116,7 @@
     }
 
     private boolean idle() {
-        return open == 0 && batches.inUse() == 0 && door.idle();
+        return open == 0 && order.unsettled() == 0 && batches.inUse() == 0 && door.idle();
     }
 
     private void endIfIdle() {
@@ -131,6 +136,7 @@
             follower.close();
             check();
             engines.close();
+            barrier.close();
             counters.hold(out == 0, "no dispatch is out at the end");
             counters.hold(counters.sum("batches taken") == counters.sum(ENDS), "each batch ends once");
             held = true;
@@ -198,16 +204,43 @@
         LOG.log(Level.SEVERE, "fault in " + what, fault);
     }
 
+    /** What was read of a batch that is not told yet. */
+    private record Came(Exchange x, int group, int customer, String key, long estimate, int memoryMb, int tables) {
+    }
+
     @Override
     public void taken(Exchange x, int group, int customer, String key, long estimate, int memoryMb, int tables) {
         counters.count("batches taken");
         open++;
-        x.batch = batches.of(x);
         x.keyed = key != null;
-        long now = clock.now();
-        x.timeUp = later(Math.max(0, (x.notAfter - now) / 10), () -> timeUp(x));
-        tell("taken", () -> manager.taken(now, new Arrival(x.batch, group, customer,
-                key == null ? -1 : keys.of(key), x.notAfter, estimate, memoryMb, tables, false)));
+        x.timeUp = later(Math.max(0, (x.notAfter - clock.now()) / 10), () -> timeUp(x));
+        order.came(new Came(x, group, customer, key, estimate, memoryMb, tables), key);
+    }
+
+    /** All that had come before a batch with this key was read has been read. */
+    private final class Readings implements TakingOrder.Carrier<Came> {
+        @Override
+        public void barrier(Object key) {
+            barrier.whenRead(() -> order.passed(key));
+        }
+
+        @Override
+        public void taken(Came b, boolean turnKnown) {
+            Exchange x = b.x;
+            if (x.over()) {
+                // The client left, or its time was up, while it was not told.
+                x.timeUp.remove();
+                stir();
+                return;
+            }
+            if (!turnKnown) {
+                counters.count("batches whose turn can't be told");
+            }
+            x.batch = batches.of(x);
+            tell("taken", () -> manager.taken(clock.now(), new Arrival(x.batch, b.group, b.customer,
+                    b.key == null ? -1 : keys.of(b.key), x.notAfter, b.estimate, b.memoryMb, b.tables, false,
+                    !turnKnown)));
+        }
     }
 
     private void timeUp(Exchange x) {
@@ -218,7 +251,7 @@
         later(OVERDUE_MS, () -> {
             if (x.errored()) {
                 over("batches errored at their limit");
-                tell("overdue", () -> manager.clientLeft(clock.now(), x.batch));
+                leftTold("overdue", x);
             }
         });
     }
@@ -230,10 +263,17 @@
         }
         x.left();
         over("batches left by their clients");
-        tell("left", () -> manager.clientLeft(clock.now(), x.batch));
+        leftTold("left", x);
         callOffAll(x);
     }
 
+    /** The decisions hear only of what they were told of. */
+    private void leftTold(String what, Exchange x) {
+        if (x.batch >= 0) {
+            tell(what, () -> manager.clientLeft(clock.now(), x.batch));
+        }
+    }
+
     private void over(String how) {
         counters.count(how);
         open--;
--- a/src/main/java/firstage/net/clients/ClientDoor.java
+++ b/src/main/java/firstage/net/clients/ClientDoor.java
@@ -43,6 +43,7 @@
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
+import org.xnio.nio.OneThreadServer;
 
 /** Where clients come in: reads their calls, answers what can't be used, hands on the rest. */
 public final class ClientDoor {
@@ -117,19 +118,22 @@
                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false).getMap());
         http.setRootHandler(new HttpContinueReadHandler(this::call));
-        server = worker.createStreamConnectionServer(address, ChannelListeners.openListenerAdapter(this::opened),
+        server = OneThreadServer.listen(worker, address, ChannelListeners.openListenerAdapter(this::opened),
                 OptionMap.builder().set(Options.REUSE_ADDRESSES, true).set(Options.BACKLOG, BACKLOG)
                         .set(Options.CONNECTION_HIGH_WATER, mostConnections + IN_HAND)
                         .set(Options.CONNECTION_LOW_WATER, mostConnections + IN_HAND - 1)
                         .set(Options.TCP_NODELAY, true).getMap());
+    }
+
+    /** Connections are taken in from here on; on the thread itself. */
+    public void accept() {
         server.resumeAccepts();
-        io.execute(callers::sweep);
+        callers.sweep();
     }
 
     private void opened(StreamConnection connection) {
         if (callers.opens(connection)) {
             connection.getSinkChannel().setConduit(new FaultLine(connection.getSinkChannel().getConduit()));
-            connection.getSourceChannel().setConduit(new InTurn(connection.getSourceChannel().getConduit()));
             http.handleEvent(connection);
             callers.watch(connection);
         }
