A dispatch's life is a table free of I/O; a rig plays hostile schedules on it with Brain

Cause: what a dispatch does was spread over callbacks of its sockets, so nothing could try its corner cases but a run that happened to meet them.

Change: firstage.life.DispatchLife is a table of state, event, next state, effect, outcome; Run only carries it. Each end says how long its engine may hold the batch (Ending.mayHold), and the key rests for that in Brain, while the client is answered at once (before, an error at a dead engine was held back for 2.2 s). A status that no engine gives is a spoilt answer.

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -236,8 +236,10 @@
         }
         report(now, e, ending.report());
         Turn turn = turns.get(b.key);
-        if (turn != null && Set.of(Outcome.TIMED_OUT, Outcome.BROKEN, Outcome.CALLED_OFF).contains(how)) {
-            turn.restUntil = Math.max(turn.restUntil, now + rules.keyRest());
+        if (turn != null) {
+            boolean rests = Set.of(Outcome.TIMED_OUT, Outcome.BROKEN, Outcome.CALLED_OFF).contains(how);
+            long rest = Math.max(ending.mayHold(), rests ? rules.keyRest() : 0);
+            turn.restUntil = Math.max(turn.restUntil, now + rest);
         }
         if (ending.closed() || b.closed) {
             close(b);
--- a/src/main/java/firstage/app/Main.java
+++ b/src/main/java/firstage/app/Main.java
@@ -2,6 +2,7 @@
 
 import firstage.benchlink.BenchLink;
 import java.io.IOException;
+import java.util.List;
 
 /** The command line. */
 public final class Main {
@@ -23,8 +24,14 @@
             } catch (IOException | RuntimeException fault) {
                 end("no rehearsal: " + fault.getMessage());
             }
+        } else if (args.length >= 3 && args.length <= 4 && args[0].equals("hostile")) {
+            try {
+                System.exit(Hostile.run(List.of(args).subList(1, args.length)));
+            } catch (IllegalArgumentException fault) {
+                end("hostile: " + oneLine(fault));
+            }
         } else {
-            end("usage: java -jar firstage.jar benchlink | serve | rehearse");
+            end("usage: java -jar firstage.jar benchlink | serve | rehearse | hostile FIRST COUNT [FAULT]");
         }
     }
 
--- a/src/main/java/firstage/benchlink/Seat.java
+++ b/src/main/java/firstage/benchlink/Seat.java
@@ -81,7 +81,7 @@
         long stats = f.whole("stats", 0);
         manager.ended(now, new Ending(batch, f.index("attempt", 0),
                 engines.of(f.needWhole("engine")), outcome(f), f.time("delay_seen"), (stats >> 12) * 10,
-                (int) (stats & 4095) * 4, f.flag("terminal"), report(f)));
+                (int) (stats & 4095) * 4, f.flag("terminal"), report(f), 0));
     }
 
     private void progress(long now, Fields f) {
--- /dev/null
+++ b/src/main/java/firstage/lab/Fault.java
@@ -0,0 +1,24 @@
+package firstage.lab;
+
+/** Old faults of the program, to be put back one at a time: a rig that does not find them proves nothing. */
+public enum Fault {
+    NONE,
+    /** Batches are told as they are read, whatever the thread missed meanwhile. */
+    TOLD_AS_READ,
+    /** A refused call for news ends a dispatch for good, also at an engine that drains. */
+    REFUSED_IS_OVER,
+    /** An engine that does not know a dispatch whose statement was never answered for will not take it up. */
+    UNKNOWN_IS_OVER,
+    /** The answer to a DELETE proves the end, also where it overtook the statement. */
+    DELETED_IS_OVER,
+    /** A dispatch that is given up ends as soon as its time to hear of it is over, and its key goes on. */
+    GIVEN_UP_IS_OVER,
+    /** A connection that broke under the statement is taken for one that never came up. */
+    BROKEN_NEVER_RAN,
+    /** The client's limit answers it, and a late end answers it again. */
+    ANSWERED_TWICE,
+    /** A connection that came up late carries a statement to an engine that drains. */
+    DRAIN_UNHEEDED,
+    /** What has no answer at its limit gets none. */
+    LIMIT_UNHEEDED
+}
--- /dev/null
+++ b/src/main/java/firstage/lab/HostileSchedule.java
@@ -0,0 +1,128 @@
+package firstage.lab;
+
+import firstage.door.Deployment;
+import firstage.door.EngineList;
+import firstage.door.ServiceGroup;
+import firstage.door.ServiceGroup.Effect;
+import firstage.door.ServiceGroup.Scope;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+/**
+ * One seeded schedule: a few engines, a dozen batches of two keys, and what goes wrong among them. The same seed plays
+ * the same schedule. Batches of one key are written as far apart as clients promise: 60 ms, 250 ms after one on a new
+ * connection.
+ */
+public final class HostileSchedule {
+    private static final long SECOND = 10_000;
+    private static final long START = 100 * SECOND;
+    private static final long GAP = 600;
+    private static final long GAP_NEW = 2_500;
+    private static final long LIMIT = 5 * SECOND;
+    private static final int KEYS = 2;
+    private static final double[] ROUGHNESS = {0, 0.02, 0.1, 0.3};
+
+    private HostileSchedule() {
+    }
+
+    /** What broke, in words; empty where all rules held and all tables are empty at the end. */
+    public static List<String> play(long seed, Fault fault) {
+        RandomGenerator chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+        Calendar calendar = new Calendar(START);
+        RuleCheck check = new RuleCheck();
+        int count = 1 + chance.nextInt(3);
+        List<LabEngine> engines = new ArrayList<>();
+        for (int e = 0; e < count; e++) {
+            engines.add(new LabEngine(calendar, check, chance));
+        }
+        LabManager manager = new LabManager(calendar, chance, check, fault, deployment(chance), engines,
+                ROUGHNESS[chance.nextInt(ROUGHNESS.length)], chance.nextBoolean());
+        manager.knows(count);
+        traffic(chance, calendar, check, manager);
+        troubles(chance, calendar, manager, engines);
+        calendar.play(START + 20 * SECOND);
+        check.close(calendar.now());
+        manager.close();
+        return check.broken();
+    }
+
+    private static Deployment deployment(RandomGenerator chance) {
+        boolean copies = chance.nextBoolean();
+        List<ServiceGroup> groups = List.of(
+                group(Effect.REPEATABLE, false, 1), group(Effect.ONCE_ONLY, true, 2),
+                group(Effect.REPEATABLE, true, 1));
+        return new Deployment(chance.nextLong(), 1, 0, 0, groups, List.of(new Deployment.Machine(8, 16_000)), List.of(),
+                new Deployment.Allowed(chance.nextBoolean(), copies, true, true, true, 4, 2 * SECOND),
+                new Deployment.Rules(0, 0, 0, 2 * SECOND, chance.nextBoolean() ? 0 : SECOND / 2, -1, 0, SECOND), 0.5,
+                SECOND / 2, false, false, -1);
+    }
+
+    private static ServiceGroup group(Effect effect, boolean ordered, int threads) {
+        return new ServiceGroup(2 * SECOND, 2, LIMIT, ordered ? 8 : 1, 0.5, effect, Scope.ALL, 6 * SECOND, ordered,
+                threads, false, false, Set.of(), Set.of());
+    }
+
+    private static void traffic(RandomGenerator chance, Calendar calendar, RuleCheck check, LabManager manager) {
+        int batch = 0;
+        for (int key = 0; key < KEYS; key++) {
+            long at = chance.nextLong(SECOND);
+            int many = 3 + chance.nextInt(5);
+            int group = 1 + chance.nextInt(2);
+            for (int i = 0; i < many; i++) {
+                boolean fresh = chance.nextInt(3) == 0;
+                comes(chance, calendar, check, manager, batch++, group, key, at, fresh);
+                long gap = fresh ? GAP_NEW : GAP;
+                at += chance.nextBoolean() ? gap : gap + chance.nextLong(SECOND / 2);
+            }
+        }
+        for (int i = 0; i < 4; i++) {
+            comes(chance, calendar, check, manager, batch++, 0, -1, chance.nextLong(4 * SECOND), chance.nextBoolean());
+        }
+    }
+
+    private static void comes(RandomGenerator chance, Calendar calendar, RuleCheck check, LabManager manager, int batch,
+                              int group, int key, long at, boolean fresh) {
+        long limit = START + at + SECOND / 2 + chance.nextLong(LIMIT);
+        long runs = 50 + chance.nextLong(chance.nextInt(4) == 0 ? SECOND * 3 : SECOND / 4);
+        LabManager.Taken b = new LabManager.Taken(batch, group, key, limit, runs);
+        calendar.in(at, () -> {
+            check.came(calendar.now(), batch, key, group == 1, limit);
+            manager.comes(b, fresh, key >= 0);
+        });
+        if (chance.nextInt(10) == 0) {
+            calendar.in(at + chance.nextLong(SECOND), () -> manager.leaves(b));
+        }
+    }
+
+    private static void troubles(RandomGenerator chance, Calendar calendar, LabManager manager,
+                                 List<LabEngine> engines) {
+        int stalls = chance.nextInt(4);
+        for (int i = 0; i < stalls; i++) {
+            calendar.in(chance.nextLong(4 * SECOND), () -> manager.thread().standStill(500 + chance.nextLong(SECOND)));
+        }
+        for (int e = 0; e < engines.size(); e++) {
+            int which = e;
+            LabEngine engine = engines.get(e);
+            long at = chance.nextLong(4 * SECOND);
+            switch (chance.nextInt(6)) {
+                case 0 -> {
+                    calendar.in(at, () -> engine.becomes(LabEngine.Standing.DOWN));
+                    calendar.in(at + chance.nextLong(2 * SECOND), () -> engine.becomes(LabEngine.Standing.UP));
+                }
+                case 1 -> {
+                    calendar.in(at, () -> engine.becomes(LabEngine.Standing.MUTE));
+                    calendar.in(at + chance.nextLong(4 * SECOND), () -> engine.becomes(LabEngine.Standing.UP));
+                }
+                case 2 -> {
+                    calendar.in(at, () -> engine.becomes(LabEngine.Standing.DRAINING));
+                    calendar.in(at + chance.nextLong(SECOND),
+                            () -> manager.listed(which, EngineList.Standing.LEAVING));
+                }
+                default -> { }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/lab/LabManager.java
@@ -0,0 +1,478 @@
+package firstage.lab;
+
+import firstage.Brain;
+import firstage.door.Arrival;
+import firstage.door.Deployment;
+import firstage.door.Ending;
+import firstage.door.EngineList;
+import firstage.door.Host;
+import firstage.door.Outcome;
+import firstage.life.DispatchLife;
+import firstage.life.DispatchLife.Alarm;
+import firstage.life.DispatchLife.Loss;
+import firstage.life.DispatchLife.Word;
+import firstage.life.TakingOrder;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+/** A manager as the sockets make one up: the real Brain and the real lives; connections and engines are modelled. */
+final class LabManager implements Host, TakingOrder.Carrier<LabManager.Taken> {
+    private static final long GRACE = 1_000;
+    private static final long OVERDUE = 350;
+    private static final long NEWS_PATIENCE = 6_000;
+    private static final long DELETE_PATIENCE = 2_000;
+    private static final long CONNECT_PATIENCE = 2_500;
+    private static final long LATEST = 1_500;
+
+    /** A batch that came. */
+    static final class Taken {
+        final int batch;
+        final int group;
+        final int key;
+        final long limit;
+        final long runs;
+        boolean told;
+        boolean over;
+        int dispatches;
+        final List<Sent> out = new ArrayList<>();
+
+        Taken(int batch, int group, int key, long limit, long runs) {
+            this.batch = batch;
+            this.group = group;
+            this.key = key;
+            this.limit = limit;
+            this.runs = runs;
+        }
+    }
+
+    private final Calendar calendar;
+    private final RandomGenerator chance;
+    private final RuleCheck check;
+    private final Fault fault;
+    private final List<LabEngine> engines;
+    private final double roughness;
+    private final LabThread thread;
+    private final Brain brain;
+    private final TakingOrder<Taken> order = new TakingOrder<>(this);
+    private final Map<Integer, Taken> batches = new HashMap<>();
+    private boolean turnDue;
+    private int open;
+    private int marks;
+
+    LabManager(Calendar calendar, RandomGenerator chance, RuleCheck check, Fault fault, Deployment deployment,
+               List<LabEngine> engines, double roughness, boolean stalls) {
+        this.calendar = calendar;
+        this.chance = chance;
+        this.check = check;
+        this.fault = fault;
+        this.engines = engines;
+        this.roughness = roughness;
+        thread = new LabThread(calendar, chance, check, stalls, this::turn);
+        brain = new Brain(deployment, this);
+    }
+
+    LabThread thread() {
+        return thread;
+    }
+
+    private void turn() {
+        if (turnDue) {
+            turnDue = false;
+            brain.turn(calendar.now());
+        }
+    }
+
+    // ---- Clients.
+    /** The last byte of a batch is at the machine now. */
+    void comes(Taken b, boolean newConnection, boolean ordered) {
+        Runnable read = () -> {
+            open++;
+            thread(b.limit - calendar.now(), () -> timeUp(b));
+            if (fault == Fault.TOLD_AS_READ) {
+                taken(b, true);
+            } else {
+                order.came(b, b.key >= 0 ? (Object) b.key : null);
+            }
+        };
+        if (newConnection) {
+            thread.connects(read);
+        } else {
+            thread.arrives(read);
+        }
+    }
+
+    void leaves(Taken b) {
+        thread.arrives(() -> {
+            if (!b.over) {
+                b.over = true;
+                open--;
+                check.left(b.batch);
+                if (b.told) {
+                    brain.clientLeft(calendar.now(), b.batch);
+                }
+                callOffAll(b);
+                turnDue = true;
+            }
+        });
+    }
+
+    private void thread(long delay, Runnable what) {
+        calendar.in(delay, () -> thread.arrives(what));
+    }
+
+    private void timeUp(Taken b) {
+        if (fault == Fault.LIMIT_UNHEEDED) {
+            return;
+        }
+        List.copyOf(b.out).forEach(s -> s.life.giveUp(calendar.now(), Outcome.TIMED_OUT));
+        thread(OVERDUE, () -> {
+            if (!b.over || fault == Fault.ANSWERED_TWICE) {
+                answer(b, false);
+                if (b.told) {
+                    brain.clientLeft(calendar.now(), b.batch);
+                    turnDue = true;
+                }
+            }
+        });
+    }
+
+    private void answer(Taken b, boolean pushedBack) {
+        if (!b.over || fault == Fault.ANSWERED_TWICE) {
+            if (!b.over) {
+                open--;
+            }
+            b.over = true;
+            check.answered(calendar.now(), b.batch, pushedBack);
+        }
+    }
+
+    @Override
+    public void barrier(Object key) {
+        thread.barrier(() -> order.passed(key));
+    }
+
+    @Override
+    public void taken(Taken b, boolean turnKnown) {
+        turnDue = true;
+        if (b.over) {
+            return;
+        }
+        b.told = true;
+        batches.put(b.batch, b);
+        brain.taken(calendar.now(), new Arrival(b.batch, b.group, 0, b.key, b.limit, b.runs, 64, b.batch % 5, false,
+                !turnKnown));
+    }
+
+    void listed(int engine, EngineList.Standing standing) {
+        thread.arrives(() -> {
+            if (standing == EngineList.Standing.LEAVING) {
+                engines.get(engine).drainTold(calendar.now());
+            }
+            brain.listed(calendar.now(), new EngineList(EngineList.Kind.CHANGES, List.of(entry(engine, standing))));
+            turnDue = true;
+        });
+    }
+
+    void knows(int count) {
+        List<EngineList.Entry> all = new ArrayList<>();
+        for (int e = 0; e < count; e++) {
+            all.add(entry(e, EngineList.Standing.ACTIVE));
+        }
+        brain.listed(calendar.now(), new EngineList(EngineList.Kind.WHOLE, all));
+        brain.turn(calendar.now());
+    }
+
+    private static EngineList.Entry entry(int engine, EngineList.Standing standing) {
+        return new EngineList.Entry(engine, engine + 1, 0, 0, 0, standing, 1, 0);
+    }
+
+    // ---- Decisions.
+    @Override
+    public void provide(int batch, int grantMb, int priority) {
+    }
+
+    @Override
+    public void dispatch(int batch, int engine, long within) {
+        Taken b = batches.get(batch);
+        Sent s = new Sent(b, b.dispatches++, engine);
+        b.out.add(s);
+        calendar.in(0, s.life::start);
+    }
+
+    @Override
+    public void callOff(int batch, int dispatch) {
+        List.copyOf(batches.get(batch).out).stream().filter(s -> s.number == dispatch)
+                .forEach(s -> s.life.giveUp(calendar.now(), Outcome.CALLED_OFF));
+    }
+
+    private void callOffAll(Taken b) {
+        List.copyOf(b.out).forEach(s -> s.life.giveUp(calendar.now(), Outcome.CALLED_OFF));
+    }
+
+    @Override
+    public void pushBack(int batch, long comeBack) {
+        Taken b = batches.get(batch);
+        answer(b, true);
+        callOffAll(b);
+    }
+
+    @Override
+    public void error(int batch) {
+        answer(batches.get(batch), false);
+    }
+
+    @Override
+    public void forgetBatch(int batch) {
+        batches.remove(batch);
+    }
+
+    @Override
+    public void forgetKey(int key) {
+    }
+
+    @Override
+    public void forgetEngine(int engine) {
+    }
+
+    @Override
+    public void probe(int engine) {
+        thread(20, () -> {
+            brain.probed(calendar.now(), engine, Outcome.RETURNED, null);
+            turnDue = true;
+        });
+    }
+
+    @Override
+    public void tellPeers(byte[] words) {
+    }
+
+    @Override
+    public void subscribe() {
+    }
+
+    @Override
+    public void wakeIn(long delay, long token) {
+        thread(delay, () -> {
+            brain.woken(calendar.now(), token);
+            turnDue = true;
+        });
+    }
+
+    @Override
+    public void log(String line) {
+    }
+
+    /** What must be empty once all is over. */
+    void close() {
+        for (int e = 0; e < engines.size(); e++) {
+            if (brain.out(e) != 0) {
+                check.kept(brain.out(e) + " dispatches at engine " + e);
+            }
+        }
+        if (!batches.isEmpty()) {
+            check.kept(batches.size() + " batches");
+        }
+        if (order.unsettled() != 0 || open != 0) {
+            check.kept(order.unsettled() + " unsettled, " + open + " open");
+        }
+    }
+
+    /** A dispatch on modelled connections: each call may fail, be late, or lose its answer. */
+    private final class Sent implements DispatchLife.Carrier {
+        private final Taken b;
+        private final int number;
+        private final LabEngine engine;
+        private final int index;
+        private final int mark = marks++;
+        private final long sent = calendar.now();
+        private final DispatchLife life;
+        private boolean blind = true;
+
+        private Sent(Taken b, int number, int index) {
+            this.b = b;
+            this.number = number;
+            this.index = index;
+            engine = engines.get(index);
+            life = new DispatchLife(this, b.key >= 0);
+        }
+
+        private boolean rough() {
+            return chance.nextDouble() < roughness;
+        }
+
+        private long way() {
+            return 2 + chance.nextInt(14);
+        }
+
+        private void tell(Runnable news) {
+            thread.arrives(() -> {
+                news.run();
+                turnDue = true;
+            });
+        }
+
+        @Override
+        public void post() {
+            boolean refuses = engine.standing() == LabEngine.Standing.DOWN
+                    || engine.standing() == LabEngine.Standing.DRAINING && chance.nextBoolean();
+            boolean mute = engine.standing() == LabEngine.Standing.MUTE && chance.nextBoolean();
+            long up = chance.nextInt(10) == 0 ? chance.nextInt((int) CONNECT_PATIENCE) : 2 * way();
+            calendar.in(mute ? CONNECT_PATIENCE : up, () -> tell(() -> {
+                if (refuses || mute) {
+                    life.postFailed(calendar.now(), refuses ? Loss.REFUSED : Loss.UNREACHED);
+                } else if (rough()) {
+                    life.postFailed(calendar.now(), Loss.RESET);
+                } else if (!life.wanted() || engine.sinceDrain(calendar.now()) >= 0 && fault != Fault.DRAIN_UNHEEDED) {
+                    life.postFailed(calendar.now(), Loss.UNSENT);
+                } else {
+                    write();
+                }
+            }));
+        }
+
+        private void write() {
+            life.written(calendar.now());
+            long sinceDrain = engine.sinceDrain(calendar.now());
+            boolean[] answered = {false};
+            boolean breaks = rough();
+            boolean reaches = !breaks || chance.nextBoolean();
+            // The bytes may lie on their way when the connection under them is gone.
+            long late = breaks && chance.nextBoolean() ? chance.nextLong(LATEST) : way();
+            if (reaches && engine.standing() != LabEngine.Standing.MUTE) {
+                calendar.in(late, () -> engine.post(b.batch, mark, sinceDrain, GRACE, b.runs, word -> {
+                    if (!breaks) {
+                        back(answered, () -> {
+                            blind = false;
+                            life.posted(calendar.now(), word);
+                        }, loss -> life.postFailed(calendar.now(), loss));
+                    }
+                }));
+            }
+            lossAfter(breaks ? 2 * way() : NEWS_PATIENCE, answered, loss -> {
+                if (fault == Fault.BROKEN_NEVER_RAN) {
+                    ended(Outcome.NO_CONNECTION, 0);
+                } else {
+                    life.postFailed(calendar.now(), loss);
+                }
+            });
+        }
+
+        private interface Lost {
+            void as(Loss loss);
+        }
+
+        /** An answer on its way back: it comes, comes spoilt, or never comes. */
+        private void back(boolean[] answered, Runnable whole, Lost lost) {
+            if (answered[0] || rough() && chance.nextBoolean()) {
+                return;
+            }
+            boolean spoilt = rough();
+            calendar.in(way(), () -> tell(() -> {
+                if (!answered[0]) {
+                    answered[0] = true;
+                    if (spoilt) {
+                        lost.as(Loss.SPOILT);
+                    } else {
+                        whole.run();
+                    }
+                }
+            }));
+        }
+
+        private void lossAfter(long patience, boolean[] answered, Lost lost) {
+            calendar.in(patience, () -> tell(() -> {
+                if (!answered[0]) {
+                    answered[0] = true;
+                    lost.as(Loss.LOST);
+                }
+            }));
+        }
+
+        private void call(long patience, boolean fresh, java.util.function.Consumer<boolean[]> reach, Lost lost) {
+            boolean[] answered = {false};
+            boolean refuses = engine.standing() == LabEngine.Standing.DOWN
+                    || fresh && engine.standing() == LabEngine.Standing.DRAINING && chance.nextBoolean();
+            if (refuses) {
+                answered[0] = true;
+                calendar.in(2 * way(), () -> tell(() -> lost.as(Loss.REFUSED)));
+                return;
+            }
+            boolean breaks = rough();
+            if (engine.standing() != LabEngine.Standing.MUTE && (!breaks || chance.nextBoolean())) {
+                calendar.in(way(), () -> reach.accept(answered));
+            }
+            lossAfter(breaks ? 2 * way() : patience, answered, lost);
+        }
+
+        @Override
+        public void ask(boolean fresh) {
+            call(NEWS_PATIENCE, fresh, answered -> engine.news(mark, word -> back(answered, () -> {
+                boolean unknown = blind && word == Word.ERROR;
+                blind &= word == Word.ERROR;
+                if (unknown && fault == Fault.UNKNOWN_IS_OVER) {
+                    ended(Outcome.ERRORED, 0);
+                } else {
+                    life.told(calendar.now(), word);
+                }
+            }, loss -> life.lost(calendar.now(), loss))), this::lost);
+        }
+
+        private void lost(Loss loss) {
+            if (loss == Loss.REFUSED && fault == Fault.REFUSED_IS_OVER) {
+                ended(Outcome.BROKEN, 0);
+            } else {
+                life.lost(calendar.now(), loss);
+            }
+        }
+
+        @Override
+        public void fetch(int page, boolean fresh) {
+            call(NEWS_PATIENCE, fresh, answered -> engine.page(mark, word -> back(answered,
+                    () -> life.told(calendar.now(), word), loss -> life.lost(calendar.now(), loss))), this::lost);
+        }
+
+        @Override
+        public void delete(boolean fresh) {
+            call(DELETE_PATIENCE, fresh, answered -> engine.delete(mark, () -> back(answered, () -> {
+                if (fault == Fault.DELETED_IS_OVER) {
+                    ended(Outcome.CALLED_OFF, 0);
+                } else {
+                    life.deleted(calendar.now());
+                }
+            }, loss -> life.deleteFailed(calendar.now(), loss))), loss -> life.deleteFailed(calendar.now(), loss));
+        }
+
+        @Override
+        public void after(long delay, Alarm alarm) {
+            thread(delay, () -> {
+                life.rang(calendar.now(), alarm);
+                turnDue = true;
+            });
+        }
+
+        @Override
+        public boolean lives() {
+            // Known only by chance: other dispatches may hold connections to it or not.
+            return engine.standing() != LabEngine.Standing.DOWN && chance.nextBoolean();
+        }
+
+        @Override
+        public void ended(Outcome how, long rest) {
+            if (!b.out.remove(this)) {
+                return;
+            }
+            if (how == Outcome.RETURNED) {
+                answer(b, false);
+            }
+            turnDue = true;
+            brain.ended(calendar.now(), new Ending(b.batch, number, index, how, calendar.now() - sent, 0, 0, b.over,
+                    null, fault == Fault.GIVEN_UP_IS_OVER ? 0 : rest));
+            if (how == Outcome.RETURNED) {
+                callOffAll(b);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/lab/LabThread.java
@@ -0,0 +1,131 @@
+package firstage.lab;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+/**
+ * The one thread of a modelled manager, as hostile as the machine allows: it looks at its sockets, reads what that look
+ * found in any order, stands still at any moment in between, and only then looks again. A new connection takes one look
+ * to be accepted and one more to be read.
+ */
+final class LabThread {
+    private static final double STALL_BETWEEN = 0.004;
+    private static final long LONGEST_STALL = 9_000;
+    private final Calendar calendar;
+    private final RandomGenerator chance;
+    private final RuleCheck check;
+    private final boolean stalls;
+    private final Runnable turn;
+    private List<Runnable> ready = new ArrayList<>();
+    private List<Runnable> accepted = new ArrayList<>();
+    private final List<Runnable> connecting = new ArrayList<>();
+    private final ArrayDeque<Runnable> found = new ArrayDeque<>();
+    private final List<int[]> looksLeft = new ArrayList<>();
+    private final List<Runnable> barriers = new ArrayList<>();
+    private final List<int[]> looksLeftNext = new ArrayList<>();
+    private final List<Runnable> barriersNext = new ArrayList<>();
+    private boolean awake;
+    private long stillUntil;
+
+    LabThread(Calendar calendar, RandomGenerator chance, RuleCheck check, boolean stalls, Runnable turn) {
+        this.calendar = calendar;
+        this.chance = chance;
+        this.check = check;
+        this.stalls = stalls;
+        this.turn = turn;
+    }
+
+    /** Something reached a socket that is open, or a timer is due. */
+    void arrives(Runnable what) {
+        ready.add(what);
+        wake();
+    }
+
+    /** Something came on a new connection. */
+    void connects(Runnable what) {
+        connecting.add(what);
+        wake();
+    }
+
+    /** Answered once two whole looks began after this and were read. */
+    void barrier(Runnable then) {
+        barriersNext.add(then);
+        looksLeftNext.add(new int[] {2});
+        wake();
+    }
+
+    /** The process stands still. */
+    void standStill(long time) {
+        stillUntil = Math.max(stillUntil, calendar.now() + time);
+        check.stalled(time);
+    }
+
+    private void wake() {
+        if (!awake) {
+            awake = true;
+            calendar.in(1, this::look);
+        }
+    }
+
+    private boolean still(Runnable then) {
+        if (calendar.now() < stillUntil) {
+            calendar.in(stillUntil - calendar.now(), then);
+            return true;
+        }
+        return false;
+    }
+
+    private void look() {
+        if (still(this::look)) {
+            return;
+        }
+        barriers.addAll(barriersNext);
+        looksLeft.addAll(looksLeftNext);
+        barriersNext.clear();
+        looksLeftNext.clear();
+        List<Runnable> all = ready;
+        ready = new ArrayList<>();
+        while (!all.isEmpty()) {
+            found.add(all.remove(chance.nextInt(all.size())));
+        }
+        // Accepted in this look, read in the next.
+        ready.addAll(accepted);
+        ready.addAll(connecting);
+        accepted = new ArrayList<>();
+        connecting.clear();
+        read();
+    }
+
+    private void read() {
+        if (still(this::read)) {
+            return;
+        }
+        while (!found.isEmpty()) {
+            found.poll().run();
+            if (stalls && chance.nextDouble() < STALL_BETWEEN) {
+                standStill(1 + chance.nextLong(LONGEST_STALL));
+                still(this::read);
+                return;
+            }
+        }
+        through();
+        turn.run();
+        awake = false;
+        if (!ready.isEmpty() || !connecting.isEmpty() || !barriers.isEmpty() || !barriersNext.isEmpty()) {
+            wake();
+        }
+    }
+
+    private void through() {
+        List<Runnable> over = new ArrayList<>();
+        for (int i = barriers.size() - 1; i >= 0; i--) {
+            if (--looksLeft.get(i)[0] <= 0) {
+                over.add(0, barriers.remove(i));
+                looksLeft.remove(i);
+            }
+        }
+        over.forEach(Runnable::run);
+    }
+}
--- a/src/main/java/firstage/net/Node.java
+++ b/src/main/java/firstage/net/Node.java
@@ -291,7 +291,8 @@
     }
 
     @Override
-    public void ended(Exchange x, Exchange.Dispatch d, Outcome how, long took, Report report, List<byte[]> pages) {
+    public void ended(Exchange x, Exchange.Dispatch d, Outcome how, long took, Report report, List<byte[]> pages,
+                      long rest) {
         counters.hold(x.out.remove(d), "a dispatch ends once");
         out--;
         engines.ended(d.engine());
@@ -300,7 +301,7 @@
             over("batches returned");
         }
         tell("ended", () -> manager.ended(clock.now(),
-                new Ending(x.batch, d.number(), d.engine(), how, took, 0, 0, x.over(), report)));
+                new Ending(x.batch, d.number(), d.engine(), how, took, 0, 0, x.over(), report, rest)));
         if (how == Outcome.RETURNED) {
             callOffAll(x);
         }
--- a/src/main/java/firstage/net/Tidings.java
+++ b/src/main/java/firstage/net/Tidings.java
@@ -17,8 +17,8 @@
 
     void noted(Exchange x, Exchange.Dispatch d, Note.Kind kind, double amount);
 
-    /** A dispatch is over; {@code pages} only where it returned. */
-    void ended(Exchange x, Exchange.Dispatch d, Outcome how, long took, Report report, List<byte[]> pages);
+    /** A dispatch is over; {@code pages} only where it returned; the engine may hold it for {@code rest} more. */
+    void ended(Exchange x, Exchange.Dispatch d, Outcome how, long took, Report report, List<byte[]> pages, long rest);
 
     void probed(int engine, Outcome how, Report report);
 
--- a/src/main/java/firstage/net/engines/Connection.java
+++ b/src/main/java/firstage/net/engines/Connection.java
@@ -127,7 +127,7 @@
             close();
             link.gone(this);
         } else {
-            link.idle(this, response.status() == 200);
+            link.idle(this, true);
         }
         over.answered(response);
     }
--- a/src/main/java/firstage/net/engines/Link.java
+++ b/src/main/java/firstage/net/engines/Link.java
@@ -21,8 +21,8 @@
     /** Tenths of a millisecond: engines answer a call for news after 250 ms, and the way there and back. */
     private static final long TRUSTED = 4_000;
     /**
-     * Tenths of a millisecond between a page and the next call: a second copy of it shows within that. A copy of
-     * other answers tells nothing that could be taken for another's rows.
+     * Tenths of a millisecond between an answer and the next call: a second copy of it shows within that. A copy that
+     * comes under the next call would be taken for its answer, and that one's answer for the one's after it.
      */
     private static final long REST = 100;
     private final Engines engines;
@@ -146,13 +146,13 @@
         return all.size() + connecting;
     }
 
-    void idle(Connection c, boolean rests) {
+    void idle(Connection c, boolean used) {
         if (closed) {
             c.close();
             gone(c);
         } else {
             c.idleSince = clock.now();
-            c.restsUntil = c.idleSince + (rests ? REST : 0);
+            c.restsUntil = c.idleSince + (used ? REST : 0);
             idle.addLast(c);
         }
     }
--- a/src/main/java/firstage/net/engines/Run.java
+++ b/src/main/java/firstage/net/engines/Run.java
@@ -3,58 +3,34 @@
 import firstage.door.Note;
 import firstage.door.Outcome;
 import firstage.door.Report;
+import firstage.life.DispatchLife;
+import firstage.life.DispatchLife.Loss;
+import firstage.life.DispatchLife.Word;
 import firstage.net.Exchange;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 
-/**
- * A dispatch at its engine: started, asked for without pause (an engine drops what nobody asks for in 2 s), its
- * pages fetched, ended once. It belongs to no connection: where one fails, another is asked.
- */
-final class Run implements Exchange.Dispatch {
+/** Carries a dispatch's life over HTTP: its calls, and what their answers say. It decides nothing. */
+final class Run implements Exchange.Dispatch, DispatchLife.Carrier {
     /** Engines answer within 250 ms; another connection is tried well before they drop it after 2 s. */
     private static final long NEWS_MS = 600;
-    /** Answers in a row that can't be read: some are spoilt on their way, not so many. */
-    private static final int MOST_UNREADABLE = 5;
-    /** New connections in a row that are reset before the statement is written. */
-    private static final int MOST_RESETS = 3;
+    private static final long DELETE_MS = 200;
     private static final int MOST_PAGES = 64;
-    /** An engine that has nothing to tell and does not hold the call is asked again after a pause. */
-    private static final long HELD = 100;
-    private static final long NOT_HELD_MS = 20;
     /** Some five times what a result may hold. */
     private static final int MOST_RESULT = 256 * 1024;
-    /** Between askings that fail at once. */
-    private static final long PAUSE_MS = 50;
-    /** So long a dispatch may take to end that is given up: the client's answer waits for it. */
-    private static final long GIVE_UP_MS = 20;
-    /** An engine ends what nobody asked for in 2 s: then the next of its key can't overtake it. */
-    private static final long GIVE_UP_KEYED_MS = 2_200;
-    private static final long DELETE_MS = 200;
     private final Engines engines;
     private final Link link;
     private final Exchange x;
     private final int number;
     private final int engine;
     private final long sent;
+    private final DispatchLife life;
     private final List<byte[]> pages = new ArrayList<>();
     private int pageCount;
     private int size;
     private long took;
-    private int failures;
-    private int unreadable;
-    private long asked;
-    private boolean started;
-    /** Its POST is written and not answered, and whether an answer ever showed that the engine has it. */
-    private boolean posting;
-    private boolean known;
-    private boolean givenUp;
-    private Outcome givenUpAs;
-    private boolean told;
-    private boolean over;
     private int priority;
     private Report report;
 
@@ -66,8 +42,9 @@
         this.engine = engine;
         this.sent = engines.clock.now();
         this.priority = x.priority;
+        life = new DispatchLife(this, x.keyed);
         // Not within the decision that sends it: its outcome is news of a later moment.
-        engines.io.execute(this::start);
+        engines.io.execute(life::start);
     }
 
     @Override
@@ -80,22 +57,35 @@
         return engine;
     }
 
-    private void start() {
-        if (givenUp) {
-            return;
-        }
+    private long now() {
+        return engines.clock.now();
+    }
+
+    private static Loss loss(Call.Failure f) {
+        return switch (f) {
+            case REFUSED -> Loss.REFUSED;
+            case UNREACHED -> Loss.UNREACHED;
+            case RESET -> Loss.RESET;
+            case NO_ROOM, UNWANTED -> Loss.UNSENT;
+            case BROKEN, SILENT -> Loss.LOST;
+            case MALFORMED -> Loss.SPOILT;
+        };
+    }
+
+    @Override
+    public void post() {
         link.start(new Call("POST /x", x.statement, NEWS_MS) {
             @Override
             boolean wanted() {
                 // An engine may begin to drain while the connection to it comes up.
-                return !givenUp && !link.isLeaving();
+                return life.wanted() && !link.isLeaving();
             }
 
             @Override
             String head() {
-                started = true;
-                posting = true;
-                long left = Math.max(1, (x.notAfter - engines.clock.now()) / 10);
+                long now = now();
+                life.written(now);
+                long left = Math.max(1, (x.notAfter - now) / 10);
                 return "X-Ticket: " + x.id + "\r\nX-Queue: " + x.group + "\r\nX-Max-Ms: " + left + "\r\n"
                         + (x.grantMb > 0 ? "Grant-Mb: " + x.grantMb + "\r\n" : "")
                         + "Rank: " + priority + "\r\n";
@@ -103,122 +93,91 @@
 
             @Override
             void answered(Response r) {
-                posting = false;
-                known = true;
-                news(r);
-                deleteIfDue();
+                Word word = word(r, 0);
+                if (word != null) {
+                    life.posted(now(), word);
+                } else {
+                    engines.counters.count("answers that can't be used");
+                    life.postFailed(now(), Loss.SPOILT);
+                }
             }
 
             @Override
             void failed(Failure f) {
-                posting = false;
-                deleteIfDue();
-                switch (f) {
-                    case RESET -> {
-                        // The engine is there, and has seen nothing of it.
-                        if (++failures < MOST_RESETS) {
-                            start();
-                        } else {
-                            end(Outcome.NO_CONNECTION);
-                        }
-                    }
-                    case REFUSED, UNREACHED -> end(Outcome.NO_CONNECTION);
-                    case NO_ROOM, UNWANTED -> end(Outcome.NOT_SENT);
-                    default -> again(f, Run.this::ask);
-                }
+                life.postFailed(now(), loss(f));
             }
         });
     }
 
-    /** With a key, given up while its POST was under way: a DELETE that overtook that would have ended nothing. */
-    private void deleteIfDue() {
-        if (givenUp && !over && x.keyed) {
-            delete(givenUpAs, true);
-        }
+    @Override
+    public void ask(boolean fresh) {
+        get(0, fresh);
     }
 
-    private void ask(boolean fresh) {
-        if (over || givenUp) {
-            return;
-        }
-        asked = engines.clock.now();
-        link.call(new Call("GET /x/" + x.id + "/0", null, NEWS_MS) {
+    @Override
+    public void fetch(int page, boolean fresh) {
+        get(page, fresh);
+    }
+
+    private void get(int page, boolean fresh) {
+        link.call(new Call("GET /x/" + x.id + "/" + page, null, NEWS_MS) {
             @Override
             void answered(Response r) {
-                news(r);
+                Word word = word(r, page);
+                if (word != null) {
+                    life.told(now(), word);
+                } else {
+                    engines.counters.count("answers that can't be used");
+                    life.lost(now(), Loss.SPOILT);
+                }
             }
 
             @Override
             void failed(Failure f) {
-                again(f, Run.this::ask);
+                life.lost(now(), loss(f));
             }
         }, fresh);
     }
 
-    /**
-     * A process that ended refuses connections and has reset all it had, and what ran there ended with it; one that
-     * drains may refuse new ones and runs on. Else it is asked again: an answer that broke off, was spoilt or never
-     * came is lost, but what it told is not, for the engine gives it again.
-     */
-    private void again(Call.Failure f, Consumer<Boolean> asking) {
-        if (over || givenUp) {
-            return;
-        }
-        unreadable += f == Call.Failure.MALFORMED ? 1 : 0;
-        boolean refused = f == Call.Failure.REFUSED;
-        if (refused && !link.lives()) {
-            giveUp(Outcome.BROKEN);
-        } else if (unreadable >= MOST_UNREADABLE) {
-            // It may run on unseen: its engine is told to end it.
-            giveUp(Outcome.ERRORED);
-        } else {
-            // The first time at once: a process that died resets its connections, and refuses the next.
-            long pause = failures++ == 0 && !refused ? 0 : PAUSE_MS;
-            engines.io.executeAfter(() -> asking.accept(!refused), pause, TimeUnit.MILLISECONDS);
+    /** What an answer says, and keeps of it what goes on; null where it can't be one of an engine's. */
+    private Word word(Response r, int page) {
+        if (!life.runs()) {
+            return switch (r.status()) {
+                case 200 -> Word.LAST;
+                case 202 -> Word.NEWS;
+                case 503, 504 -> r.neverRan() ? Word.TURNED_AWAY : Word.ERROR;
+                case 500 -> Word.ERROR;
+                default -> null;
+            };
         }
-    }
-
-    private void news(Response r) {
-        if (over || givenUp) {
-            return;
-        }
-        failures = 0;
         // The latest word only: an earlier one would pass for news when the dispatch ends.
         report = Engines.report(r);
-        switch (r.status()) {
+        return switch (r.status()) {
             case 202 -> {
                 note(r);
-                if (engines.clock.now() - asked < HELD) {
-                    engines.io.executeAfter(() -> ask(false), NOT_HELD_MS, TimeUnit.MILLISECONDS);
-                } else {
-                    ask(false);
-                }
+                yield page > 0 ? null : Word.NEWS;
             }
-            case 200 -> {
-                took = took > 0 ? took : engines.clock.now() - sent;
-                pageCount = r.whole("page-count", 0);
-                if (pageCount > 0 && pageCount <= MOST_PAGES && r.isPage()) {
-                    page(r);
-                } else {
-                    unusable(this::ask);
-                }
-            }
-            case 503, 504 -> end(r.neverRan() ? Outcome.TURNED_AWAY : Outcome.ERRORED);
-            default -> {
-                if (known) {
-                    end(Outcome.ERRORED);
-                } else {
-                    // The engine has not heard of it, but has its statement, and may take that up yet.
-                    giveUp(Outcome.ERRORED);
-                }
-            }
-        }
-        known = true;
+            case 200 -> page(r, page);
+            case 503, 504 -> r.neverRan() ? Word.TURNED_AWAY : Word.ERROR;
+            case 500 -> Word.ERROR;
+            // Engines say nothing else: it was spoilt on its way.
+            default -> null;
+        };
     }
 
-    private void unusable(Consumer<Boolean> asking) {
-        engines.counters.count("pages that can't be used");
-        again(Call.Failure.MALFORMED, asking);
+    private Word page(Response r, int page) {
+        if (page == 0) {
+            took = took > 0 ? took : now() - sent;
+            pageCount = r.whole("page-count", 0);
+        }
+        boolean usable = pageCount > 0 && pageCount <= MOST_PAGES && r.isPage() && pages.size() == page
+                && (page == 0 || r.whole("page-no", -1) == page);
+        if (!usable) {
+            return null;
+        }
+        pages.add(r.body());
+        size += r.body().length;
+        return size > MOST_RESULT ? Word.ERROR : pages.size() >= pageCount ? Word.LAST : Word.PAGE;
     }
 
     private void note(Response r) {
@@ -234,54 +193,13 @@
         }
     }
 
-    private void page(Response r) {
-        unreadable = 0;
-        failures = 0;
-        pages.add(r.body());
-        size += r.body().length;
-        if (size > MOST_RESULT) {
-            end(Outcome.ERRORED);
-        } else if (pages.size() >= pageCount) {
-            end(Outcome.RETURNED);
-        } else {
-            fetch(false);
-        }
-    }
-
-    private void fetch(boolean fresh) {
-        if (over || givenUp) {
-            return;
-        }
-        int wanted = pages.size();
-        link.call(new Call("GET /x/" + x.id + "/" + wanted, null, NEWS_MS) {
-            @Override
-            void answered(Response r) {
-                if (over || givenUp) {
-                    return;
-                }
-                if (r.status() != 200) {
-                    end(Outcome.ERRORED);
-                } else if (r.whole("page-no", -1) == wanted && r.isPage()) {
-                    page(r);
-                } else {
-                    unusable(Run.this::fetch);
-                }
-            }
-
-            @Override
-            void failed(Failure f) {
-                again(f, Run.this::fetch);
-            }
-        }, fresh);
-    }
-
     @Override
     public void priority(int next) {
-        if (next == priority || over || givenUp) {
+        if (next == priority || life.over()) {
             return;
         }
         priority = next;
-        if (started) {
+        if (life.runs()) {
             byte[] body = String.valueOf(next).getBytes(StandardCharsets.US_ASCII);
             link.call(new Call("PUT /x/" + x.id, body, NEWS_MS) {
                 @Override
@@ -297,52 +215,43 @@
         }
     }
 
-    /** Ends once the engine has heard of it, or can't hear in time: until then it counts as out. */
     @Override
     public void giveUp(Outcome how) {
-        if (over || givenUp) {
-            return;
-        }
-        givenUp = true;
-        givenUpAs = how;
-        if (!started) {
-            // It is not written any more; told after what is at hand, as it may be a decision that gives it up.
-            engines.io.execute(() -> end(Outcome.NOT_SENT));
-            return;
-        }
-        engines.io.executeAfter(() -> end(how), x.keyed ? GIVE_UP_KEYED_MS : GIVE_UP_MS, TimeUnit.MILLISECONDS);
-        if (!(posting && x.keyed)) {
-            delete(how, false);
-        }
+        life.giveUp(now(), how);
     }
 
-    private void delete(Outcome how, boolean fresh) {
-        if (over && told) {
-            return;
-        }
-        told = true;
+    @Override
+    public void delete(boolean fresh) {
         link.call(new Call("DELETE /x/" + x.id, null, DELETE_MS) {
             @Override
             void answered(Response r) {
-                end(how);
+                life.deleted(now());
             }
 
             @Override
             void failed(Failure f) {
-                if (f == Failure.REFUSED && !link.lives() && !x.keyed) {
-                    end(how);
-                } else {
-                    engines.io.executeAfter(() -> delete(how, f != Failure.REFUSED), PAUSE_MS, TimeUnit.MILLISECONDS);
-                }
+                life.deleteFailed(now(), loss(f));
             }
         }, fresh);
     }
 
-    private void end(Outcome how) {
-        if (!over) {
-            over = true;
-            assert how != Outcome.NOT_SENT || !started : "what was written was sent";
-            engines.tidings.ended(x, this, how, took > 0 ? took : engines.clock.now() - sent, report, pages);
+    @Override
+    public void after(long delay, DispatchLife.Alarm alarm) {
+        Runnable rings = () -> life.rang(now(), alarm);
+        if (delay > 0) {
+            engines.io.executeAfter(rings, delay / 10, TimeUnit.MILLISECONDS);
+        } else {
+            engines.io.execute(rings);
         }
     }
+
+    @Override
+    public boolean lives() {
+        return link.lives();
+    }
+
+    @Override
+    public void ended(Outcome how, long rest) {
+        engines.tidings.ended(x, this, how, took > 0 ? took : now() - sent, report, pages, rest);
+    }
 }
--- a/src/test/java/firstage/FakeHost.java
+++ b/src/test/java/firstage/FakeHost.java
@@ -111,7 +111,7 @@
     private FakeHost end(int batch, Outcome outcome, long took) {
         int number = dispatches.get(batch) - 1;
         brain.ended(now, new Ending(batch, number, lastEngine.get(batch), outcome, took, 0, 0,
-                outcome == Outcome.RETURNED, null));
+                outcome == Outcome.RETURNED, null, 0));
         brain.turn(now);
         return this;
     }
