A held call's life is a table; unread answers and kept bytes have their bounds

Cause: a client that never read its answer kept a closing manager until it was killed, and statements and answers kept for clients had no one total.

Change: firstage.life.CallLife is a table of state, event, next state and effects; PendingCall only carries it. An answer that is not read for 10 s, or 1 s once the manager closes, ends its connection. What is kept for clients is counted in one place (ClientDoor.kept) and bounded by an eighth of the memory; beyond it a call is turned away with a time to come back, nothing of it taken.

--- a/src/main/java/firstage/life/DispatchLife.java
+++ b/src/main/java/firstage/life/DispatchLife.java
@@ -5,13 +5,13 @@
 import java.util.Map;
 
 /**
- * What a dispatch does at its engine: its statement is sent, it is asked for without pause (an engine drops what
- * nobody asks for), its pages are fetched, and it ends once. It belongs to no connection: where one fails, another is asked.
+ * What a dispatch does at its engine: its statement is sent, it is asked for without pause (an engine drops what nobody
+ * asks for), its pages are fetched, and it ends once. It belongs to no connection: where one fails, another is asked.
  *
  * <p>Beside each outcome stands what the engine may still hold, for what can't be proven over is not over. It is
- * proven by the engine's own last word on it, or by its answer to a DELETE that came after the statement. Else the engine
- * may run it until nobody asked for it in {@link #FORGETS}, counted from our last call, and the next batch of its key
- * waits for so long, while its own client is answered at once.
+ * proven by the engine's own last word on it, or by its answer to a DELETE that came after the statement. Else the
+ * engine may run it until nobody asked for it in {@link #FORGETS}, counted from our last call, and the next batch of
+ * its key waits for so long, while its own client is answered at once.
  *
  * <p>Times are tenths of a millisecond. Every call is an event; effects go out by {@link Carrier}, which may call back
  * at once only where said.
--- a/src/main/java/firstage/net/Assignment.java
+++ b/src/main/java/firstage/net/Assignment.java
@@ -22,11 +22,12 @@
  * coordinator is, the engines known so far, and the deployment's settings.
  */
 public record Assignment(String name, InetSocketAddress listen, InetSocketAddress coordinator, int descriptors,
-                         Map<?, ?> known, Fields settings, Deployment deployment) {
+                         int memoryMb, Map<?, ?> known, Fields settings, Deployment deployment) {
 
     /** Descriptors for what is no connection to an engine or a client: files, selectors, the coordinator. */
     private static final int RESERVE = 40;
     private static final int UNBIDDEN = 16;
+    private static final int CLIENTS_PART = 8;
     private static final long LONGEST_COUNTED = 30_000;
     private static final long AFTER_LONGEST = 7_000;
 
@@ -35,6 +36,11 @@
         return descriptors > 0 ? descriptors / 3 + UNBIDDEN : Integer.MAX_VALUE / 2;
     }
 
+    /** How many bytes of statements and answers may be kept for clients: an eighth of the memory. */
+    public long clientBytes() {
+        return memoryMb > 0 ? memoryMb * (1L << 20) / CLIENTS_PART : Long.MAX_VALUE / 2;
+    }
+
     /** How many connections to engines may be held: what is left. */
     public int engineConnections() {
         return descriptors > 0 ? Math.max(1, descriptors - RESERVE - clientConnections()) : Integer.MAX_VALUE / 2;
@@ -61,7 +67,7 @@
             Fields fields = new Fields(told);
             return new Assignment(top.text("name", "manager"), address(top.need("listen")),
                     top.has("coordinator") ? address(top.need("coordinator")) : null,
-                    top.index("limits.sockets", 0),
+                    top.index("limits.sockets", 0), top.index("limits.memory_mb", 0),
                     all.get("known") instanceof Map<?, ?> known ? known : Map.of(), fields, Setup.read(fields));
         }
     }
--- a/src/main/java/firstage/net/clients/ClientDoor.java
+++ b/src/main/java/firstage/net/clients/ClientDoor.java
@@ -29,6 +29,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -58,6 +59,12 @@
     /** After the last answer on a connection so much is read off for so long: a close at once could take it back. */
     private static final int READ_OFF_MS = 300;
     private static final int MOST_READ_OFF = 256 * 1024;
+    /** A client that reads has a whole result in milliseconds; one on a bad path in seconds. */
+    private static final int MOST_UNREAD_MS = 10_000;
+    private static final int MOST_UNREAD_CLOSING_MS = 1_000;
+    private static final int SWEEP_MS = 250;
+    /** A client that finds no room should stay away: a good part of what is kept is over by then. */
+    private static final int BUSY_MS = 500;
     /** Work in ms or memory in MB: a year on one core, and a thousand engines' memory. */
     private static final double MOST_FIGURE = 3e10;
     /** Times its group's time limit: so long no client waits; clocks and rounding need far less. */
@@ -79,6 +86,7 @@
     private final List<String> customers = new ArrayList<>();
     private final Callers callers;
     private final int mostConnections;
+    private final long mostBytes;
     private AcceptingChannel<StreamConnection> server;
     private HttpOpenListener http;
     /** By the path at which the client may ask. */
@@ -89,7 +97,11 @@
     private final List<Double> limits = new ArrayList<>();
     private long taken;
     private int unanswered;
-    private int writing;
+    /** Answers that are not all written yet, and since when; oldest first. */
+    private final Map<HttpServerExchange, Long> writes = new LinkedHashMap<>();
+    /** Statements and answers that are kept for clients. */
+    private long bytes;
+    private long closingSince;
     private boolean closing;
 
     public ClientDoor(XnioIoThread io, Clock clock, Counters counters, Tidings tidings, Assignment assignment) {
@@ -99,6 +111,7 @@
         this.tidings = tidings;
         this.address = assignment.listen();
         mostConnections = assignment.clientConnections();
+        mostBytes = assignment.clientBytes();
         callers = new Callers(io, counters, mostConnections);
         Fields settings = assignment.settings();
         for (int i = 0; i < settings.index("classes.count", 0); i++) {
@@ -129,6 +142,7 @@
     public void accept() {
         server.resumeAccepts();
         callers.sweep();
+        sweepWrites();
     }
 
     private void opened(StreamConnection connection) {
@@ -146,12 +160,35 @@
     /** No new connections; what is open is answered still. */
     public void close() {
         closing = true;
+        closingSince = clock.now();
         IoUtils.safeClose(server);
     }
 
-    /** Whether all that was taken is answered, and the answers are written. */
+    /**
+     * Whether all that was taken is answered, and the answers are written. A client that does not read its answer is
+     * waited for no longer than one that does needs: it must not keep a closing manager from ending.
+     */
     public boolean idle() {
-        return unanswered == 0 && writing == 0;
+        endUnread(closing ? MOST_UNREAD_CLOSING_MS : MOST_UNREAD_MS);
+        return unanswered == 0 && writes.isEmpty();
+    }
+
+    /** Ends the connections of answers that are written for so long; the oldest stand first. */
+    private void endUnread(long atMostMs) {
+        while (!writes.isEmpty()) {
+            Map.Entry<HttpServerExchange, Long> oldest = writes.entrySet().iterator().next();
+            if (clock.now() - Math.max(oldest.getValue(), closingSince) <= atMostMs * 10) {
+                return;
+            }
+            counters.count("answers not read");
+            writes.remove(oldest.getKey());
+            IoUtils.safeClose(oldest.getKey().getConnection());
+        }
+    }
+
+    private void sweepWrites() {
+        endUnread(MOST_UNREAD_MS);
+        io.executeAfter(this::sweepWrites, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
     void given(PendingCall call) {
@@ -161,11 +198,21 @@
 
     /** A call that nobody asks for any more. */
     void over(PendingCall call, boolean given) {
-        if (pending.remove(call.path(), call) && !given) {
-            given(call);
+        if (pending.remove(call.path(), call)) {
+            kept(-call.bytes());
+            if (!given) {
+                given(call);
+            }
         }
     }
 
+    /** More bytes are kept for a client, or fewer. */
+    void kept(int more) {
+        bytes += more;
+        counters.peak("most bytes kept for clients", bytes);
+        counters.hold(bytes >= 0 && (bytes == 0 || !pending.isEmpty()), "bytes are kept for calls that are open");
+    }
+
     boolean closing() {
         return closing;
     }
@@ -278,7 +325,7 @@
         }
         counters.count("calls answered " + status);
         x.setStatusCode(status);
-        send(x, line(why), IoCallback.END_EXCHANGE);
+        send(x, line(why));
     }
 
     /**
@@ -326,10 +373,14 @@
         return ByteBuffer.wrap(("{\"err\":\"" + why + "\"}\n").getBytes(StandardCharsets.US_ASCII));
     }
 
-    void send(HttpServerExchange x, ByteBuffer body, IoCallback then) {
-        writing++;
+    void send(HttpServerExchange x, ByteBuffer body) {
+        send(x, body, IoCallback.END_EXCHANGE);
+    }
+
+    private void send(HttpServerExchange x, ByteBuffer body, IoCallback then) {
+        writes.put(x, clock.now());
         x.addExchangeCompleteListener((over, next) -> {
-            writing--;
+            writes.remove(over);
             next.proceed();
         });
         x.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
@@ -367,11 +418,16 @@
             turnDown(x, 400, "no statement");
         } else if (customer < 0) {
             turnDown(x, 400, "X-Team is missing or unknown");
+        } else if (bytes + statement.length > mostBytes) {
+            // Nothing of it is taken: more would end the program, and all that it holds with it.
+            x.getResponseHeaders().put(PendingCall.WAIT, BUSY_MS);
+            turnDown(x, 503, "Busy");
         } else {
             ids.add(id);
             PendingCall call = new PendingCall(this, id, NEWS + taken++ + "-" + id);
             Exchange batch = new Exchange(id, group, statement, now + (long) (allow * 10), call);
             pending.put(call.path(), call);
+            kept(statement.length);
             unanswered++;
             call.start(batch, x);
             tidings.taken(batch, index, customer, key, (long) (estimate * 10), (int) memory,
--- a/src/main/java/firstage/net/clients/PendingCall.java
+++ b/src/main/java/firstage/net/clients/PendingCall.java
@@ -1,8 +1,8 @@
 package firstage.net.clients;
 
+import firstage.life.CallLife;
 import firstage.net.Exchange;
 import io.undertow.connector.PooledByteBuffer;
-import io.undertow.io.IoCallback;
 import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HttpString;
@@ -18,19 +18,13 @@
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
- * A batch as its client sees it. The client's call is held until there is an answer; where that takes long, the
- * client gets a path to ask at instead, so that a connection that breaks costs a call and not the batch. The
- * connection is read while a call is held, which Undertow does not do by itself: a client with no path yet that
- * gives up closes it, and is owed nothing from then on.
+ * Carries the life of a client's call over HTTP. The connection is read while a call is held, which Undertow does not
+ * do by itself: a client that gives up closes it.
  */
-final class PendingCall implements Exchange.Reply {
-    private static final HttpString WAIT = new HttpString("X-Wait-Ms");
+final class PendingCall implements Exchange.Reply, CallLife.Carrier {
+    static final HttpString WAIT = new HttpString("X-Wait-Ms");
     private static final byte[] FAILED = "{\"err\":\"Failed\"}\n".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] BUSY = "{\"err\":\"Busy\"}\n".getBytes(StandardCharsets.US_ASCII);
-    /** A first call is held so long: as the engines hold theirs. */
-    private static final long FIRST_HELD_MS = 250;
-    /** A client calls again at once, three times at most; so long it may take, and an answer be asked for anew. */
-    private static final long AGAIN_MS = 2_000;
 
     private record Answer(int status, long comeBack, ByteBuffer body) {
     }
@@ -38,12 +32,12 @@
     private final ClientDoor door;
     private final String id;
     private final String path;
+    private final CallLife life = new CallLife(this);
     private Exchange batch;
     /** The calls that are held: one, but where a client lost a connection and calls on another. */
     private final List<Held> held = new ArrayList<>();
     private Answer answer;
     private boolean given;
-    /** When nothing happens until then: the path is given, or the client taken as gone. */
     private XnioExecutor.Key timer;
 
     PendingCall(ClientDoor door, String id, String path) {
@@ -60,45 +54,26 @@
         return path;
     }
 
+    /** Bytes that are kept for this client: its statement until it is over, its answer until nobody asks any more. */
+    int bytes() {
+        return batch.statement.length + (answer == null ? 0 : answer.body.remaining());
+    }
+
     void start(Exchange started, HttpServerExchange first) {
         batch = started;
         held.add(new Held(first));
-        after(FIRST_HELD_MS, this::givePath);
-    }
-
-    private void after(long ms, Runnable task) {
-        if (timer != null) {
-            timer.remove();
-        }
-        timer = door.io.executeAfter(task, ms, TimeUnit.MILLISECONDS);
-    }
-
-    private void givePath() {
-        if (!held.isEmpty() && answer == null) {
-            HttpServerExchange x = held.get(0).release();
-            door.send(x, ByteBuffer.wrap(("{\"poll\":\"" + path + "\"}").getBytes(StandardCharsets.US_ASCII)),
-                    IoCallback.END_EXCHANGE);
-            after(AGAIN_MS, this::gone);
-        }
+        life.start();
     }
 
-    /**
-     * The client asks at the path. Where an earlier call is still held, the client gave its connection up, but
-     * which of the two is the later one can't be told by when they come in: both are held, and both answered.
-     */
+    /** The client asks at the path. */
     void asked(HttpServerExchange x) {
         held.add(new Held(x));
-        if (answer != null) {
-            give();
-        } else if (timer != null) {
-            timer.remove();
-            timer = null;
-        }
+        life.asked();
     }
 
     /** The client gave up by the path. */
     void gaveUp() {
-        gone();
+        life.gaveUp();
     }
 
     /** A call that waits, and its connection that is read meanwhile. */
@@ -139,7 +114,7 @@
                 } else if (n > 0) {
                     // The next call before the answer to this one: that is no client of ours.
                     door.endWith(release(), 400, "one call at a time");
-                    gone();
+                    life.gaveUp();
                 }
             } catch (IOException fault) {
                 broken(this);
@@ -150,26 +125,67 @@
     private void broken(Held call) {
         call.close();
         if (!call.atPath()) {
-            gone();
+            life.firstBroke();
         } else if (held.isEmpty()) {
             door.counters.count("held calls broken");
-            after(AGAIN_MS, this::gone);
+            life.lastBroke();
+        }
+    }
+
+    // ---- What the life does.
+    @Override
+    public void givePath() {
+        HttpServerExchange x = held.get(0).release();
+        door.send(x, ByteBuffer.wrap(("{\"poll\":\"" + path + "\"}").getBytes(StandardCharsets.US_ASCII)));
+    }
+
+    @Override
+    public void give() {
+        if (!given) {
+            given = true;
+            door.given(this);
+        }
+        for (Held call : List.copyOf(held)) {
+            HttpServerExchange x = call.release();
+            if (answer.comeBack() > 0) {
+                x.getResponseHeaders().put(WAIT, answer.comeBack() / 10);
+            }
+            x.setStatusCode(answer.status());
+            x.setPersistent(x.isPersistent() && !door.closing());
+            door.send(x, answer.body().duplicate());
         }
     }
 
-    /** Ends it for good: nobody asks any more. */
-    private void gone() {
+    @Override
+    public void arm(long delay) {
+        disarm();
+        timer = door.io.executeAfter(life::due, delay / 10, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void disarm() {
         if (timer != null) {
             timer.remove();
+            timer = null;
         }
+    }
+
+    @Override
+    public void closeHeld() {
         List.copyOf(held).forEach(Held::close);
+    }
+
+    @Override
+    public void left() {
+        door.tidings.left(batch);
+    }
+
+    @Override
+    public void forget() {
         door.over(this, given);
-        if (answer == null) {
-            answer = new Answer(500, 0, ByteBuffer.wrap(FAILED));
-            door.tidings.left(batch);
-        }
     }
 
+    // ---- The batch's answer.
     @Override
     public void returned(List<byte[]> pages) {
         answer(new Answer(200, 0, Rows.answer(pages)));
@@ -187,32 +203,7 @@
 
     private void answer(Answer all) {
         answer = all;
-        if (!held.isEmpty()) {
-            give();
-        }
-    }
-
-    /** Gives the answer to what is held, and keeps it for a call that is made again. */
-    private void give() {
-        if (!given) {
-            given = true;
-            door.given(this);
-        }
-        boolean atPath = held.stream().allMatch(Held::atPath);
-        for (Held call : List.copyOf(held)) {
-            HttpServerExchange x = call.release();
-            if (answer.comeBack() > 0) {
-                x.getResponseHeaders().put(WAIT, answer.comeBack() / 10);
-            }
-            x.setStatusCode(answer.status());
-            x.setPersistent(x.isPersistent() && !door.closing());
-            door.send(x, answer.body().duplicate(), IoCallback.END_EXCHANGE);
-        }
-        if (atPath) {
-            after(AGAIN_MS, this::gone);
-        } else {
-            timer.remove();
-            door.over(this, true);
-        }
+        door.kept(all.body.remaining());
+        life.answer();
     }
 }
--- /dev/null
+++ b/src/test/java/firstage/life/CallLifeTest.java
@@ -0,0 +1,114 @@
+package firstage.life;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** A client's call, story by story. */
+class CallLifeTest implements CallLife.Carrier {
+    private final List<String> acts = new ArrayList<>();
+    private final CallLife life = new CallLife(this);
+
+    @Test
+    void aQuickAnswerGoesOutOnTheFirstCall() {
+        life.start();
+        life.answer();
+        life.due();
+        assertThat(acts).containsExactly("arm 2500", "give", "disarm", "forget");
+    }
+
+    @Test
+    void aSlowOneGetsAPathAndIsKeptForACallThatIsMadeAgain() {
+        life.start();
+        life.due();
+        life.asked();
+        life.answer();
+        life.lastBroke();
+        life.asked();
+        life.due();
+        assertThat(acts).containsExactly("arm 2500", "path", "arm 20000", "disarm", "give", "arm 20000", "give",
+                "arm 20000", "forget");
+    }
+
+    @Test
+    void aClientThatClosesWithNoPathGivesUp() {
+        life.start();
+        life.firstBroke();
+        life.answer();
+        assertThat(acts).containsExactly("arm 2500", "close", "disarm", "forget", "left");
+    }
+
+    @Test
+    void aPathThatNobodyAsksAtIsGivenUpAndAnAnswerThatIsThereIsNot() {
+        life.start();
+        life.due();
+        life.due();
+        assertThat(acts).endsWith("forget", "left");
+        acts.clear();
+        CallLife other = new CallLife(this);
+        other.start();
+        other.due();
+        other.answer();
+        assertThat(other.settled()).isFalse();
+        other.due();
+        assertThat(acts).endsWith("forget").doesNotContain("left", "give");
+    }
+
+    @Test
+    void aCallAtThePathThatBreaksMayBeMadeAgain() {
+        life.start();
+        life.due();
+        life.asked();
+        life.lastBroke();
+        life.asked();
+        life.answer();
+        assertThat(acts).contains("give").doesNotContain("left");
+    }
+
+    @Test
+    void aClientThatGivesUpIsOwedNothingMore() {
+        life.start();
+        life.due();
+        life.asked();
+        life.gaveUp();
+        life.answer();
+        assertThat(acts).endsWith("close", "forget", "left").doesNotContain("give");
+    }
+
+    @Override
+    public void givePath() {
+        acts.add("path");
+    }
+
+    @Override
+    public void give() {
+        acts.add("give");
+    }
+
+    @Override
+    public void arm(long delay) {
+        acts.add("arm " + delay);
+    }
+
+    @Override
+    public void disarm() {
+        acts.add("disarm");
+    }
+
+    @Override
+    public void closeHeld() {
+        acts.add("close");
+    }
+
+    @Override
+    public void left() {
+        acts.add("left");
+    }
+
+    @Override
+    public void forget() {
+        acts.add("forget");
+    }
+}
--- a/src/test/java/firstage/net/ServeIT.java
+++ b/src/test/java/firstage/net/ServeIT.java
@@ -480,6 +480,26 @@
         assertThat(program.waitFor()).isZero();
     }
 
+    /** One client never reads its answer, another reads late: the program ends, and not under the other. */
+    @Test
+    void afterSigtermAClientThatNeverReadsKeepsNobody() throws Exception {
+        String rows = "\u0001".repeat(5_990) + "\t\t\n";
+        one.script = seen -> seen.what.equals("POST /x") ? page("Page-Count: 40", rows)
+                : page("Page-No: " + seen.what.replaceAll(".*/", ""), rows);
+        try (Client mute = new Client(4_096); Client late = new Client()) {
+            mute.write("POST /ops/report", mute.fields("report", 9_000), "SELECT 1");
+            late.write("POST /ops/report", late.fields("report", 9_000), "SELECT 1");
+            Thread.sleep(700);
+            long from = System.nanoTime();
+            program.destroy();
+            Thread.sleep(300);
+            assertThat(late.follow(late.read()).body.length()).isGreaterThan(1_000_000);
+            assertThat(program.waitFor()).isZero();
+            assertThat((System.nanoTime() - from) / 1_000_000).isLessThan(3_600);
+        }
+        assertThat(Files.readString(folder.resolve("log"))).contains("batches returned=2").doesNotContain("broken:");
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "400 | POST /ops/nosuch    | X-Job-Id: 00000000000000aa,X-Allow-Ms: 500,X-Team: t|",
@@ -702,6 +722,13 @@
         private final Socket socket = new Socket();
 
         Client() throws IOException {
+            this(0);
+        }
+
+        Client(int receiveBuffer) throws IOException {
+            if (receiveBuffer > 0) {
+                socket.setReceiveBufferSize(receiveBuffer);
+            }
             socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
         }
 
