A ring of what led up to a fault; bad batches count against themselves, not engines

Brain blames an engine for a repeatable batch's error only once another returned it, and gives a batch up after two engines' errors. Only statements and DELETEs wait for a connection that was quiet for 10 ms; an answer with nothing new that came at once, where engines hold calls, ends its connection, since it may be a copy. ServeIT restarts the program under load while its configuration is rewritten in pieces.

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -37,6 +37,7 @@
     private static final double NOTES_MISSED = 2.6; // paces without a word: two may be late, three are not
     private static final long SILENT_WITHOUT_NOTES = 40_000; // long against usual work, short against limits
     private static final int ERRORS_IN_A_ROW = 3; // close an engine: one batch may err, not three
+    private static final int ERRORS_OF_ONE = 2; // engines that a batch may err at: a third would say the same
     private static final long FIRST_REST = 10_000; // before the first trial of an engine; doubled up to ...
     private static final long MOST_REST = 80_000; // ... this: a trial costs one batch
     private static final double COLD_SAFETY = 0.9; // of the cold budget: others and chance need the rest
@@ -220,11 +221,7 @@
             e.heard = now;
             health(now, e, TELLS.get(how));
         }
-        // An engine that errors at once is always free and would draw every batch: a few in a row close it.
-        e.errors = how == Outcome.ERRORED ? e.errors + 1 : how == Outcome.RETURNED ? 0 : e.errors;
-        if (e.errors >= ERRORS_IN_A_ROW) {
-            health(now, e, News.BROKE);
-        }
+        blame(now, b, e, how);
         if (how == Outcome.TURNED_AWAY) {
             press(now, e);
         } else if (how == Outcome.TIMED_OUT && usable(e)) {
@@ -607,6 +604,25 @@
     }
 
     // ---- Learning and health.
+    /**
+     * An engine that errs at once is always free and would draw every batch: a few in a row close it. A batch
+     * that may go elsewhere is tried there first: one that errs there, too, tells nothing of engines.
+     */
+    private void blame(long now, Batch b, Engine e, Outcome how) {
+        Engine blamed = null;
+        if (how == Outcome.RETURNED) {
+            e.errors = 0;
+            blamed = b.erredAt == e ? null : b.erredAt;
+        } else if (how == Outcome.ERRORED) {
+            b.errors += b.erredAt == e ? 0 : 1;
+            b.erredAt = b.erredAt == null ? e : b.erredAt;
+            blamed = b.group.is.effect() == Effect.REPEATABLE ? null : e;
+        }
+        if (blamed != null && ++blamed.errors >= ERRORS_IN_A_ROW) {
+            health(now, blamed, News.BROKE);
+        }
+    }
+
     private void learn(long now, Flight f, Ending ending) {
         Batch b = f.batch;
         Group g = b.group;
@@ -783,7 +799,7 @@
 
     private boolean mayGoAgain(long now, Batch b) {
         Again again = leave(b).again;
-        return again != Again.NO && b.dispatches < allowed.dispatches()
+        return again != Again.NO && b.dispatches < allowed.dispatches() && b.errors < ERRORS_OF_ONE
                 && (b.out.isEmpty() || allowed.secondCopies())
                 && (again != Again.IN_SCOPE || now < b.firstSent(now) + b.group.is.window())
                 && (b.dispatches == 0 || withinBudget(now));
@@ -804,7 +820,8 @@
     /** Answers at once; a pushback only where trying again is harmless. */
     private void giveUp(Batch b) {
         ServiceGroup is = b.group.is;
-        if (leave(b).pushBack || is.effect() == Effect.REFERENCED && is.scope() == Scope.ALL) {
+        boolean dropped = is.effect() == Effect.REFERENCED && is.scope() == Scope.ALL;
+        if (b.errors < ERRORS_OF_ONE && (leave(b).pushBack || dropped)) {
             long comeBack = allowed.comeBack() ? Math.min(COME_BACK, allowed.longestComeBack()) : 0;
             host.pushBack(b.is.batch(), comeBack);
         } else {
--- a/src/main/java/firstage/net/Counters.java
+++ b/src/main/java/firstage/net/Counters.java
@@ -7,6 +7,12 @@
 /** Counts by name, printed at the end; what must hold is asserted under -ea and else counted here. */
 public final class Counters {
     private final Map<String, Long> counts = new TreeMap<>();
+    private final Recorder recorder = new Recorder();
+
+    /** What led up to a count of something broken. */
+    public Recorder recorder() {
+        return recorder;
+    }
 
     public void count(String name) {
         add(name, 1);
@@ -27,6 +33,9 @@
 
     /** What must hold. */
     public void hold(boolean holds, String what) {
+        if (!holds) {
+            recorder.dump("broken: " + what);
+        }
         assert holds : what;
         if (!holds) {
             count("broken: " + what);
--- a/src/main/java/firstage/net/Exchange.java
+++ b/src/main/java/firstage/net/Exchange.java
@@ -39,8 +39,10 @@
     public final List<Dispatch> out = new ArrayList<>();
     /** Its index, as the decisions know it. */
     public int batch = -1;
-    /** Whether others may wait for it to be over. */
-    public boolean keyed;
+    /** Its key, or null: others with the same may wait for it to be over. */
+    public String key;
+    /** How old its client's connection was when it was read, in ms. */
+    public long connectionAge;
     /** Rings when the client's time is up. */
     public XnioExecutor.Key timeUp;
     public int dispatches;
--- a/src/main/java/firstage/net/Node.java
+++ b/src/main/java/firstage/net/Node.java
@@ -9,7 +9,9 @@
 import firstage.door.Outcome;
 import firstage.door.Report;
 import firstage.door.WorkloadManager;
+import firstage.life.KeyWatch;
 import firstage.life.TakingOrder;
+import firstage.net.Recorder.What;
 import firstage.net.clients.ClientDoor;
 import firstage.net.engines.Engines;
 import firstage.net.list.Follower;
@@ -42,6 +44,8 @@
     private static final long OVERDUE_MS = 35;
     /** Dispatches that are given up end within this. */
     private static final long LAST_MS = 50;
+    /** Later than this the thread stood still: clients write batches of one key 60 ms apart. */
+    private static final long STALL_US = 30_000;
     private static final String[] ENDS = {"batches returned", "batches pushed back", "batches errored",
         "batches errored at their limit", "batches left by their clients"};
     private final Assignment assignment;
@@ -55,6 +59,7 @@
     private final Follower follower;
     private final Barrier barrier;
     private final TakingOrder<Came> order = new TakingOrder<>(new Readings());
+    private final KeyWatch watch = new KeyWatch();
     private final Indices<Exchange> batches = new Indices<>();
     private final Indices<String> keys = new Indices<>();
     private final Indices<Long> ids = new Indices<>();
@@ -159,9 +164,14 @@
         long due = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SWEEP_MS);
         engines.sweep();
         check();
+        watch.sweep(clock.now());
         endIfIdle();
         later(SWEEP_MS, () -> {
-            counters.peak("latest on the I/O thread, us", (System.nanoTime() - due) / 1_000);
+            long late = (System.nanoTime() - due) / 1_000;
+            counters.peak("latest on the I/O thread, us", late);
+            if (late > STALL_US) {
+                counters.recorder().note(What.STALL, null, late / 1_000, 0);
+            }
             sweep();
         });
     }
@@ -178,7 +188,12 @@
             long due = System.nanoTime();
             io.execute(() -> {
                 turnDue = false;
-                counters.peak("latest turn, us", (System.nanoTime() - due) / 1_000);
+                long late = (System.nanoTime() - due) / 1_000;
+                counters.peak("latest turn, us", late);
+                if (late > STALL_US) {
+                    counters.count("stalls");
+                    counters.recorder().note(What.STALL, null, late / 1_000, 0);
+                }
                 try {
                     manager.turn(clock.now());
                 } catch (RuntimeException fault) {
@@ -212,7 +227,8 @@
     public void taken(Exchange x, int group, int customer, String key, long estimate, int memoryMb, int tables) {
         counters.count("batches taken");
         open++;
-        x.keyed = key != null;
+        x.key = key;
+        note(What.READ, x, x.connectionAge, 0);
         x.timeUp = later(Math.max(0, (x.notAfter - clock.now()) / 10), () -> timeUp(x));
         order.came(new Came(x, group, customer, key, estimate, memoryMb, tables), key);
     }
@@ -237,6 +253,10 @@
                 counters.count("batches whose turn can't be told");
             }
             x.batch = batches.of(x);
+            note(What.TOLD, x, turnKnown ? 1 : 0, 0);
+            if (x.key != null && turnKnown) {
+                watch.told(x.key, x.id);
+            }
             tell("taken", () -> manager.taken(clock.now(), new Arrival(x.batch, b.group, b.customer,
                     b.key == null ? -1 : keys.of(b.key), x.notAfter, b.estimate, b.memoryMb, b.tables, false,
                     !turnKnown)));
@@ -250,7 +270,7 @@
         // Neither a fault in the decisions nor an engine that hears of no DELETE may keep a client's answer back.
         later(OVERDUE_MS, () -> {
             if (x.errored()) {
-                over("batches errored at their limit");
+                over("batches errored at their limit", x);
                 leftTold("overdue", x);
             }
         });
@@ -262,7 +282,7 @@
             return;
         }
         x.left();
-        over("batches left by their clients");
+        over("batches left by their clients", x);
         leftTold("left", x);
         callOffAll(x);
     }
@@ -274,9 +294,19 @@
         }
     }
 
-    private void over(String how) {
+    private void over(String how, Exchange x) {
         counters.count(how);
         open--;
+        note(What.OVER, x, 0, 0);
+        if (x.key != null) {
+            watch.over(x.key, x.id);
+        }
+    }
+
+    private void note(What what, Exchange x, long a, long b) {
+        if (x.key != null) {
+            counters.recorder().note(what, x.id, a, b);
+        }
     }
 
     private void callOffAll(Exchange x) {
@@ -297,8 +327,12 @@
         out--;
         engines.ended(d.engine());
         counters.count("dispatches " + how);
+        note(What.ENDED, x, how.ordinal(), rest / 10);
+        if (x.key != null) {
+            watch.ended(clock.now(), x.key, x.id, rest);
+        }
         if (how == Outcome.RETURNED && x.returned(pages)) {
-            over("batches returned");
+            over("batches returned", x);
         }
         tell("ended", () -> manager.ended(clock.now(),
                 new Ending(x.batch, d.number(), d.engine(), how, took, 0, 0, x.over(), report, rest)));
@@ -341,6 +375,10 @@
         Exchange x = batches.id(batch);
         counters.count("dispatches out");
         out++;
+        note(What.DISPATCHED, x, x.dispatches, engine);
+        if (x.key != null) {
+            counters.hold(watch.sent(clock.now(), x.key, x.id), "batches of a key go one at a time and in turn");
+        }
         Exchange.Dispatch d = engines.dispatch(x, x.dispatches++, engine);
         x.out.add(d);
         if (within > 0) {
@@ -365,15 +403,16 @@
     public void pushBack(int batch, long comeBack) {
         Exchange x = batches.id(batch);
         if (x.pushedBack(comeBack)) {
-            over("batches pushed back");
+            over("batches pushed back", x);
         }
         callOffAll(x);
     }
 
     @Override
     public void error(int batch) {
-        if (batches.id(batch).errored()) {
-            over("batches errored");
+        Exchange x = batches.id(batch);
+        if (x.errored()) {
+            over("batches errored", x);
         }
     }
 
--- a/src/main/java/firstage/net/clients/Callers.java
+++ b/src/main/java/firstage/net/clients/Callers.java
@@ -1,11 +1,10 @@
 package firstage.net.clients;
 
 import firstage.net.Counters;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
@@ -26,7 +25,8 @@
     private final XnioIoThread io;
     private final Counters counters;
     private final int most;
-    private final Set<StreamConnection> all = new HashSet<>();
+    /** Each with when it was opened, in ms. */
+    private final Map<StreamConnection, Long> all = new HashMap<>();
     /** Since when, in ms: those that never made a whole call, and those between calls; oldest first. */
     private final Map<StreamConnection, Long> mute = new LinkedHashMap<>();
     private final Map<StreamConnection, Long> idle = new LinkedHashMap<>();
@@ -44,7 +44,7 @@
             IoUtils.safeClose(c);
             return false;
         }
-        all.add(c);
+        all.put(c, now());
         mute.put(c, now());
         counters.peak("most client connections", all.size());
         return true;
@@ -71,9 +71,14 @@
         idle.remove(c);
     }
 
+    /** How long it has been open, in ms. */
+    long age(StreamConnection c) {
+        return now() - all.getOrDefault(c, now());
+    }
+
     /** Its call is over. */
     void rests(StreamConnection c) {
-        if (all.contains(c)) {
+        if (all.containsKey(c)) {
             idle.put(c, now());
         }
     }
--- a/src/main/java/firstage/net/clients/ClientDoor.java
+++ b/src/main/java/firstage/net/clients/ClientDoor.java
@@ -426,6 +426,7 @@
             ids.add(id);
             PendingCall call = new PendingCall(this, id, NEWS + taken++ + "-" + id);
             Exchange batch = new Exchange(id, group, statement, now + (long) (allow * 10), call);
+            batch.connectionAge = callers.age(channel(x));
             pending.put(call.path(), call);
             kept(statement.length);
             unanswered++;
--- a/src/main/java/firstage/net/engines/Connection.java
+++ b/src/main/java/firstage/net/engines/Connection.java
@@ -23,6 +23,7 @@
     private ByteBuffer unsent;
     private XnioExecutor.Key patience;
     private boolean closed;
+    private long sentAt;
     /** When its last call ended. */
     long idleSince;
     /** Until when a second copy of its last answer may come. */
@@ -51,6 +52,7 @@
 
     void send(Call next, String host) {
         call = next;
+        sentAt = link.now();
         reader = new ResponseReader();
         unsent = next.bytes(host);
         patience = io.executeAfter(() -> fail(Call.Failure.SILENT), next.patienceMs, TimeUnit.MILLISECONDS);
@@ -123,11 +125,11 @@
                 && ByteBuffer.wrap(VERSION).equals(shared.slice(shared.position(), VERSION.length));
         Response response = reader.response(more && !copy);
         forget();
-        if (more || unsent != null || response.closes()) {
+        if (more || unsent != null || response.closes() || link.hasty(response, sentAt)) {
             close();
             link.gone(this);
         } else {
-            link.idle(this, true);
+            link.idle(this, response.status() == 200);
         }
         over.answered(response);
     }
--- a/src/main/java/firstage/net/engines/Link.java
+++ b/src/main/java/firstage/net/engines/Link.java
@@ -21,8 +21,8 @@
     /** Tenths of a millisecond: engines answer a call for news after 250 ms, and the way there and back. */
     private static final long TRUSTED = 4_000;
     /**
-     * Tenths of a millisecond between an answer and the next call: a second copy of it shows within that. A copy that
-     * comes under the next call would be taken for its answer, and that one's answer for the one's after it.
+     * Tenths of a millisecond between a page and the next call: a second copy of it shows within that, and would pass
+     * for another's rows. What must not be mistaken (a statement, a DELETE) waits so long after any answer.
      */
     private static final long REST = 100;
     private final Engines engines;
@@ -50,7 +50,7 @@
      * connection that does not come up proves that nothing ran.
      */
     void start(Call call) {
-        call(call, clock.now() - heard > TRUSTED);
+        call(call, clock.now() - heard > TRUSTED, true);
     }
 
     /** An engine sent something. */
@@ -60,12 +60,17 @@
 
     /** Makes the call on an idle connection, else on a new one; {@code fresh} asks for a new one. */
     void call(Call call, boolean fresh) {
+        call(call, fresh, false);
+    }
+
+    /** The same; {@code unmistaken}: only on a connection that was quiet for long enough since any answer. */
+    void call(Call call, boolean fresh, boolean unmistaken) {
         sweep();
         if (!call.wanted()) {
             engines.io.execute(() -> call.failed(Call.Failure.UNWANTED));
             return;
         }
-        Connection ready = fresh ? null : ready();
+        Connection ready = fresh ? null : ready(unmistaken);
         if (ready != null) {
             ready.send(call, host);
         } else if (engines.takeSlot()) {
@@ -76,17 +81,17 @@
     }
 
     /** An idle connection; one that rests where it must be: a draining engine may take no new connections. */
-    private Connection ready() {
-        Connection rested = latest(clock.now());
-        return rested == null && (leaving || engines.full()) ? latest(Long.MAX_VALUE) : rested;
+    private Connection ready(boolean unmistaken) {
+        Connection rested = latest(clock.now(), unmistaken);
+        return rested == null && (leaving || engines.full()) ? latest(Long.MAX_VALUE, unmistaken) : rested;
     }
 
     /** The idle connection that was used last, of those that rest until then, with nothing amiss. */
-    private Connection latest(long restsUntil) {
+    private Connection latest(long restsUntil, boolean unmistaken) {
         Iterator<Connection> latest = idle.descendingIterator();
         while (latest.hasNext()) {
             Connection c = latest.next();
-            if (c.restsUntil <= restsUntil) {
+            if (c.restsUntil <= restsUntil && (!unmistaken || clock.now() - c.idleSince >= REST)) {
                 latest.remove();
                 if (c.quiet()) {
                     return c;
@@ -146,13 +151,13 @@
         return all.size() + connecting;
     }
 
-    void idle(Connection c, boolean used) {
+    void idle(Connection c, boolean rests) {
         if (closed) {
             c.close();
             gone(c);
         } else {
             c.idleSince = clock.now();
-            c.restsUntil = c.idleSince + (used ? REST : 0);
+            c.restsUntil = c.idleSince + (rests ? REST : 0);
             idle.addLast(c);
         }
     }
@@ -164,6 +169,15 @@
         }
     }
 
+    /** An answer that came at once, where engines hold a call: it may be a second copy of the one before it. */
+    boolean hasty(Response response, long since) {
+        return response.status() == 202 && clock.now() - since < REST;
+    }
+
+    long now() {
+        return clock.now();
+    }
+
     /** Closes what was idle so long that the engine might close it under a call. */
     void sweep() {
         while (!idle.isEmpty() && clock.now() - idle.peekFirst().idleSince > engines.mostIdle) {
--- a/src/main/java/firstage/net/engines/Run.java
+++ b/src/main/java/firstage/net/engines/Run.java
@@ -7,6 +7,7 @@
 import firstage.life.DispatchLife.Loss;
 import firstage.life.DispatchLife.Word;
 import firstage.net.Exchange;
+import firstage.net.Recorder.What;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -42,7 +43,7 @@
         this.engine = engine;
         this.sent = engines.clock.now();
         this.priority = x.priority;
-        life = new DispatchLife(this, x.keyed);
+        life = new DispatchLife(this, x.key != null);
         // Not within the decision that sends it: its outcome is news of a later moment.
         engines.io.execute(life::start);
     }
@@ -61,7 +62,14 @@
         return engines.clock.now();
     }
 
-    private static Loss loss(Call.Failure f) {
+    private void note(What what, int figure) {
+        if (x.key != null) {
+            engines.counters.recorder().note(what, x.id, number, figure);
+        }
+    }
+
+    private Loss loss(Call.Failure f) {
+        note(What.LOST, f.ordinal());
         return switch (f) {
             case REFUSED -> Loss.REFUSED;
             case UNREACHED -> Loss.UNREACHED;
@@ -85,6 +93,7 @@
             String head() {
                 long now = now();
                 life.written(now);
+                note(What.WRITTEN, engine);
                 long left = Math.max(1, (x.notAfter - now) / 10);
                 return "X-Ticket: " + x.id + "\r\nX-Queue: " + x.group + "\r\nX-Max-Ms: " + left + "\r\n"
                         + (x.grantMb > 0 ? "Grant-Mb: " + x.grantMb + "\r\n" : "")
@@ -141,6 +150,7 @@
 
     /** What an answer says, and keeps of it what goes on; null where it can't be one of an engine's. */
     private Word word(Response r, int page) {
+        note(What.ANSWERED, r.status());
         if (!life.runs()) {
             return switch (r.status()) {
                 case 200 -> Word.LAST;
@@ -232,7 +242,7 @@
             void failed(Failure f) {
                 life.deleteFailed(now(), loss(f));
             }
-        }, fresh);
+        }, fresh, true);
     }
 
     @Override
--- a/src/main/java/firstage/state/Batch.java
+++ b/src/main/java/firstage/state/Batch.java
@@ -21,6 +21,9 @@
     public long firstRun;
     public Engine firstEngine;
     public Engine last;
+    /** Engines that it erred at, and the first of them. */
+    public int errors;
+    public Engine erredAt;
     public boolean closed;
     /** The engines asked for their load before it goes, and when. */
     public List<Engine> looked = List.of();
--- a/src/test/java/firstage/BrainStoriesTest.java
+++ b/src/test/java/firstage/BrainStoriesTest.java
@@ -337,11 +337,47 @@
         for (int b = 1; b < 20; b++) {
             host.take(b, LOOKUP);
             host.end(b, host.on(b) == bad ? Outcome.ERRORED : Outcome.RETURNED);
+            if (host.sent(b) > 1) {
+                host.end(b, Outcome.RETURNED);
+            }
         }
         long drawn = host.acts.stream().filter(a -> a.equals("dispatch to " + bad)).count();
         assertThat(drawn).isBetween(3L, 5L);
     }
 
+    @Test
+    void batchesThatErrWhereverTheyGoCloseNoEngineAndGoNoFurther() {
+        host.start(4);
+        for (int b = 0; b < 8; b++) {
+            host.take(b, LOOKUP).end(b, Outcome.ERRORED).end(b, Outcome.ERRORED);
+            assertThat(host.sent(b)).isEqualTo(2);
+            assertThat(host.acts).contains("error " + b);
+        }
+        for (int b = 10; b < 14; b++) {
+            host.take(b, REPORT);
+        }
+        assertThat(List.of(host.on(10), host.on(11), host.on(12), host.on(13))).doesNotHaveDuplicates();
+    }
+
+    @Test
+    void aBatchWhoseTurnCannotBeToldIsPushedBackAndTheFirstOfItsKeyGoesAfterIt() {
+        host.start(2).takeOutOfTurn(2, 7);
+        assertThat(host.acts).contains("pushBack 2");
+        host.take(1, LOAD, 7, 0, -1);
+        assertThat(host.sent(1)).isZero();
+        host.pass(SECOND / 5);
+        assertThat(host.sent(1)).isEqualTo(1);
+        assertThat(host.sent(2)).isZero();
+    }
+
+    @Test
+    void theNextOfAKeyWaitsWhileAnEngineMayHoldTheFirst() {
+        host.start(2).take(1, LOAD, 7, 0, -1).take(2, LOAD, 7, 0, -1).endHeld(1, Outcome.ERRORED, 2 * SECOND);
+        assertThat(host.acts).contains("error 1");
+        assertThat(host.pass(SECOND * 19 / 10).sent(2)).isZero();
+        assertThat(host.pass(SECOND / 5).sent(2)).isEqualTo(1);
+    }
+
     @Test
     void anEngineThatRefusesRestsUntilOneOfOursReturns() {
         host.start(1).take(1, REPORT).take(2, LOOKUP).end(2, Outcome.TURNED_AWAY).take(3, LOOKUP);
--- a/src/test/java/firstage/FakeHost.java
+++ b/src/test/java/firstage/FakeHost.java
@@ -93,6 +93,13 @@
         return this;
     }
 
+    /** Whether it came before or after another of its key can't be told. */
+    FakeHost takeOutOfTurn(int batch, int key) {
+        brain.taken(now, new Arrival(batch, LOAD, -1, key, now + 20 * SECOND, 20_000, 0, batch, false, true));
+        brain.turn(now);
+        return this;
+    }
+
     FakeHost takeReading(int batch, int group, int tables) {
         brain.taken(now, new Arrival(batch, group, -1, -1, now + 20 * SECOND, 2_000, 0, tables, false, false));
         brain.turn(now);
@@ -108,6 +115,14 @@
         return end(batch, Outcome.RETURNED, took);
     }
 
+    /** The batch's dispatch ends, and its engine may hold it for so long. */
+    FakeHost endHeld(int batch, Outcome outcome, long mayHold) {
+        brain.ended(now, new Ending(batch, dispatches.get(batch) - 1, lastEngine.get(batch), outcome, 2_000, 0, 0,
+                false, null, mayHold));
+        brain.turn(now);
+        return this;
+    }
+
     private FakeHost end(int batch, Outcome outcome, long took) {
         int number = dispatches.get(batch) - 1;
         brain.ended(now, new Ending(batch, number, lastEngine.get(batch), outcome, took, 0, 0,
--- a/src/test/java/firstage/net/ServeIT.java
+++ b/src/test/java/firstage/net/ServeIT.java
@@ -578,6 +578,51 @@
         assertThat(Files.readString(folder.resolve("log"))).containsOnlyOnce("tried again");
     }
 
+    /**
+     * Restarts in a row under load, killed and terminated by turns, while the configuration is rewritten in pieces as a
+     * careless writer does. So many in CI; {@code -Dfirstage.restarts=200} for the long form.
+     */
+    @Test
+    @Timeout(600)
+    void noRestartFails() throws Exception {
+        int restarts = Integer.getInteger("firstage.restarts", 6);
+        String whole = config();
+        boolean[] over = {false};
+        daemon(() -> {
+            while (!over[0]) {
+                try (Client c = new Client()) {
+                    for (int i = 0; i < 50; i++) {
+                        c.follow(c.post("lookup", "", "SELECT 1", 1000));
+                    }
+                } catch (IOException down) {
+                    Thread.sleep(2);
+                }
+            }
+        });
+        Path rewritten = Files.writeString(folder.resolve("rewritten.json"), whole);
+        daemon(() -> {
+            while (!over[0]) {
+                Files.writeString(rewritten, "");
+                Thread.sleep(1);
+                Files.writeString(rewritten, whole.substring(0, whole.length() / 3));
+                Thread.sleep(1);
+                Files.writeString(rewritten, whole);
+                Thread.sleep(3);
+            }
+        });
+        for (int i = 0; i < restarts; i++) {
+            if (i % 2 == 0) {
+                program.destroyForcibly().waitFor();
+            } else {
+                program.destroy();
+                assertThat(program.waitFor()).as("restart %d", i).isZero();
+            }
+            program = launchAt(rewritten);
+            awaitAlive();
+        }
+        over[0] = true;
+    }
+
     @Test
     void onSighupAConfigurationThatIsCutIsReadAgainOnceItIsWhole() throws Exception {
         StandInCoordinator other = new StandInCoordinator();
@@ -632,7 +677,11 @@
 
     // ---- The program and what it is told.
     private Process launch(String text) throws IOException {
-        config = Files.writeString(Files.createTempFile(folder, "config", ".json"), text);
+        return launchAt(Files.writeString(Files.createTempFile(folder, "config", ".json"), text));
+    }
+
+    private Process launchAt(Path file) throws IOException {
+        config = file;
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-ea", "-Xmx64m", "-jar", Path.of("target", "firstage.jar").toString(), "serve");
         builder.environment().put("ROUTER_CONFIG", config.toString());
