--- a/src/main/java/firstage/net/Node.java
+++ b/src/main/java/firstage/net/Node.java
@@ -38,7 +38,7 @@
     /** After a SIGTERM the front goes on sending for at most 0.6 s. */
     private static final long STILL_SENT_MS = 700;
     /** Tenths of a millisecond that the last answers may need on their way. */
-    private static final long LAST_WORDS = 3_000;
+    private static final long LAST_WORDS = 5_000;
     private static final long SWEEP_MS = 1_000;
     /** After a client's time is up; its answer must be there 50 ms after it. */
     private static final long OVERDUE_MS = 35;
@@ -76,9 +76,9 @@
                 .set(Options.WORKER_NAME, "firstage").set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1).getMap());
         io = worker.getIoThread();
-        engines = new Engines(io, clock, counters, this, assignment);
-        door = new ClientDoor(io, clock, counters, this, assignment);
         barrier = new Barrier(io, counters);
+        engines = new Engines(io, clock, counters, this, assignment);
+        door = new ClientDoor(io, clock, counters, this, assignment, barrier::whenRead);
         follower = new Follower(io, clock, counters, this, assignment);
         manager = new Brain(assignment.deployment(), this);
     }
@@ -106,12 +106,13 @@
 
     /** Serves on while the front still sends, answers all that was taken, then ends the program. */
     public void close() {
+        // When the signal came: a thread that stands still just then has the less time left.
+        long since = clock.now();
         io.execute(() -> {
             closing = true;
             stillSent = true;
             LOG.info(() -> "closing with " + open + " batches open");
-            long now = clock.now();
-            tell("closing", () -> manager.closing(now, now + assignment.endsWithin() - LAST_WORDS));
+            tell("closing", () -> manager.closing(clock.now(), since + assignment.endsWithin() - LAST_WORDS));
             later(STILL_SENT_MS, () -> {
                 stillSent = false;
                 door.close();
--- a/src/main/java/firstage/net/clients/Callers.java
+++ b/src/main/java/firstage/net/clients/Callers.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
@@ -25,13 +26,16 @@
     private final XnioIoThread io;
     private final Counters counters;
     private final int most;
+    private final Consumer<Runnable> barrier;
     /** Each with when it was opened, in ms. */
     private final Map<StreamConnection, Long> all = new HashMap<>();
     /** Since when, in ms: those that never made a whole call, and those between calls; oldest first. */
     private final Map<StreamConnection, Long> mute = new LinkedHashMap<>();
     private final Map<StreamConnection, Long> idle = new LinkedHashMap<>();
 
-    Callers(XnioIoThread io, Counters counters, int most) {
+    /** {@code barrier} runs what it is given once all that has come until then is read. */
+    Callers(XnioIoThread io, Counters counters, int most, Consumer<Runnable> barrier) {
+        this.barrier = barrier;
         this.io = io;
         this.counters = counters;
         this.most = most;
@@ -104,13 +108,24 @@
         IoUtils.safeClose(c);
     }
 
-    /** Closes what was silent for too long; comes back by itself. */
+    /**
+     * Closes what was silent for too long; comes back by itself. Silent is what said nothing once all that had come was
+     * read: after a stall, timers are due before the calls that came meanwhile are seen.
+     */
     void sweep() {
-        sweep(mute, MOST_MUTE_MS, "mute client connections closed");
-        sweep(idle, MOST_IDLE_MS, "idle client connections closed");
+        if (silent(mute, MOST_MUTE_MS) || silent(idle, MOST_IDLE_MS)) {
+            barrier.accept(() -> {
+                sweep(mute, MOST_MUTE_MS, "mute client connections closed");
+                sweep(idle, MOST_IDLE_MS, "idle client connections closed");
+            });
+        }
         io.executeAfter(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
+    private static boolean silent(Map<StreamConnection, Long> silent, long atMost) {
+        return !silent.isEmpty() && now() - silent.values().iterator().next() > atMost;
+    }
+
     private void sweep(Map<StreamConnection, Long> silent, long atMost, String what) {
         while (!silent.isEmpty()) {
             Map.Entry<StreamConnection, Long> oldest = silent.entrySet().iterator().next();
--- a/src/main/java/firstage/net/clients/ClientDoor.java
+++ b/src/main/java/firstage/net/clients/ClientDoor.java
@@ -34,6 +34,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.regex.Pattern;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -103,7 +104,8 @@
     private long closingSince;
     private boolean closing;
 
-    public ClientDoor(XnioIoThread io, Clock clock, Counters counters, Tidings tidings, Assignment assignment) {
+    public ClientDoor(XnioIoThread io, Clock clock, Counters counters, Tidings tidings, Assignment assignment,
+                      Consumer<Runnable> barrier) {
         this.io = io;
         this.clock = clock;
         this.counters = counters;
@@ -111,7 +113,7 @@
         this.address = assignment.listen();
         mostConnections = assignment.clientConnections();
         mostBytes = assignment.clientBytes();
-        callers = new Callers(io, counters, mostConnections);
+        callers = new Callers(io, counters, mostConnections, barrier);
         Fields settings = assignment.settings();
         for (int i = 0; i < settings.index("classes.count", 0); i++) {
             groups.add(settings.text("classes." + i + ".name", ""));
@@ -171,6 +173,8 @@
     public void close() {
         closing = true;
         closingSince = clock.now();
+        // A batch on a connection that the machine took is ours, also where the thread had no time for it yet.
+        acceptAll(server);
         IoUtils.safeClose(server);
     }
 
