--- a/src/main/java/firstage/app/Main.java
+++ b/src/main/java/firstage/app/Main.java
@@ -2,6 +2,7 @@
 
 import firstage.benchlink.BenchLink;
 import java.io.IOException;
+import java.util.Arrays;
 import java.util.List;
 
 /** The command line. */
@@ -24,6 +25,8 @@
             } catch (IOException | RuntimeException fault) {
                 end("no rehearsal: " + fault.getMessage());
             }
+        } else if (args.length >= 1 && args[0].equals("fleet")) {
+            System.exit(Fleet.run(Arrays.copyOfRange(args, 1, args.length)));
         } else if (args.length >= 3 && args.length <= 4 && args[0].equals("hostile")) {
             try {
                 System.exit(Hostile.run(List.of(args).subList(1, args.length)));
@@ -31,7 +34,7 @@
                 end("hostile: " + oneLine(fault));
             }
         } else {
-            end("usage: java -jar firstage.jar benchlink | serve | rehearse | hostile FIRST COUNT [FAULT]");
+            end("usage: java -jar firstage.jar benchlink | serve | rehearse | hostile FIRST COUNT [FAULT] | fleet");
         }
     }
 
--- /dev/null
+++ b/src/main/java/firstage/fleet/Choice.java
@@ -0,0 +1,49 @@
+package firstage.fleet;
+
+import firstage.Brain;
+import firstage.door.Deployment;
+import firstage.door.Host;
+import firstage.door.WorkloadManager;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * What decides in a run: the real decisions, or a textbook policy. {@code bounds} tells the decisions that each engine has
+ * so many times its cores and memory, which opens their bounds as a wrong setting would.
+ */
+public record Choice(String name, PlainPolicy.Kind plain, double bounds) {
+    private static final String BRAIN = "brain";
+
+    /** {@code brain}, {@code brain:bounds=4}, {@code random}, {@code round-robin}, ...; a fault names what would do. */
+    public static Choice of(String text) {
+        if (text.equals(BRAIN)) {
+            return new Choice(text, null, 1);
+        }
+        if (text.startsWith(BRAIN + ":bounds=")) {
+            try {
+                double bounds = Double.parseDouble(text.substring((BRAIN + ":bounds=").length()));
+                if (bounds > 0 && bounds <= 1_000) {
+                    return new Choice(text, null, bounds);
+                }
+            } catch (NumberFormatException fault) {
+                // Told below.
+            }
+            throw new FleetFault(0, "'" + text + "': bounds takes a number above 0, such as brain:bounds=4");
+        }
+        for (PlainPolicy.Kind kind : PlainPolicy.Kind.values()) {
+            if (kind.name().toLowerCase(Locale.ROOT).replace('_', '-').equals(text)) {
+                return new Choice(text, kind, 1);
+            }
+        }
+        throw new FleetFault(0, "'" + text + "' is no choice; there are " + String.join(", ", names()));
+    }
+
+    /** What {@link #of} knows. */
+    public static List<String> names() {
+        return List.of(BRAIN, BRAIN + ":bounds=N", "random", "round-robin", "least-outstanding", "two-choices");
+    }
+
+    WorkloadManager start(Deployment deployment, Host host) {
+        return plain == null ? new Brain(deployment, host) : new PlainPolicy(plain, deployment, host);
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/fleet/FleetPlan.java
@@ -0,0 +1,84 @@
+package firstage.fleet;
+
+import firstage.door.ServiceGroup.Effect;
+import firstage.door.ServiceGroup.Scope;
+import java.util.List;
+
+/** What a fleet file sets. Times are tenths of a millisecond, memory MB, work the time of one thread on one core. */
+public record FleetPlan(String name, long length, Managers managers, Engines engines, Net net, Clients clients, Rules rules,
+                        Goal goal, List<Group> groups, List<Customer> customers, Traffic traffic,
+                        List<Trouble> troubles) {
+
+    /** {@code unequal}: how far managers' parts of the traffic differ: 0 is not at all. */
+    public record Managers(int count, double unequal, Range listDelay, boolean probes, boolean secondCopies,
+                           boolean callOff, int dispatches, Range restart) {
+    }
+
+    /**
+     * One kind of engine. {@code knee}: threads a core up to which all work; {@code thrash}: of the work that each
+     * further thread a core costs; {@code spill}: further work of a batch with no memory at all; {@code warmGain}: of
+     * the reading that warm tables save; {@code coldFrom}: of its capacity at a start.
+     */
+    public record Engines(int count, int cores, double memoryMb, Range speed, Range knee, Range thrash, double disks,
+                          Range spill, int sessions, int warmGroups, double warmGain, double coldFrom, Range warmAfter,
+                          boolean grants, boolean priorities, long notePace, double errs, Range reportDelay) {
+    }
+
+    /** One way, and the spread of it. */
+    public record Net(Range way) {
+    }
+
+    public record Clients(int retries, Range pause, double tryShare, double honour) {
+    }
+
+    public record Rules(long drainGrace, double tipMultiple, long fall, long keyRest) {
+    }
+
+    /** Weights of the whole run, its worst 10 s, its worst-served group and customer. */
+    public record Goal(double whole, double worstSpan, double worstGroup, double worstCustomer) {
+    }
+
+    /** {@code low}: estimates are drawn round this times the truth, {@code scatter} wide (of a logarithm). */
+    public record Group(String name, double share, double work, double spread, double io, int threads, double memoryMb,
+                        long goal, double stretch, long limit, double utility, double lateValue, Effect effect,
+                        Scope scope, long window, boolean ordered, boolean load, boolean yields, double badPlans,
+                        double low, double scatter) {
+    }
+
+    public record Customer(String name, double share) {
+    }
+
+    /** Batches a second over all; {@code kind} names the shape over the run. */
+    public record Traffic(String kind, double rate, double swing, int keys, double keyHeat, int tables,
+                          double tableHeat) {
+    }
+
+    /** {@code part} of those it strikes, from {@code at} for {@code length}; {@code size} as each kind says. */
+    public record Trouble(Kind kind, long at, long length, double part, double size, double extra, int group) {
+        /** What a fleet file may call for. */
+        public enum Kind {
+            /** Engines die and come back cold. */
+            CRASH,
+            /** Engines say nothing, and come back cold. */
+            SILENCE,
+            /** Engines take batches and end none. */
+            HANG,
+            /** Engines drain, a batch of them at a time, and are replaced by cold ones. */
+            RELEASE,
+            /** Managers are killed and come back with nothing. */
+            RESTART,
+            /** Traffic times {@code size}. */
+            BURST,
+            /** {@code extra} of one group's batches cost {@code size} times; estimates show it. */
+            EXPENSIVE,
+            /** The same, and estimates do not. */
+            EXPENSIVE_UNSEEN,
+            /** Everything takes {@code size} times as long. */
+            SLOW,
+            /** Reports come {@code size} later. */
+            LATE_REPORTS,
+            /** All engines are cold at that moment. */
+            COLD
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/fleet/FleetRun.java
@@ -0,0 +1,234 @@
+package firstage.fleet;
+
+import firstage.door.EngineList.Standing;
+import firstage.door.ServiceGroup.Effect;
+import firstage.fleet.FleetPlan.Trouble;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.random.RandomGenerator;
+
+/**
+ * One run of a fleet: the same plan, choice and seed give the same result, and two choices of one seed meet the same
+ * traffic, engines and troubles.
+ */
+public final class FleetRun implements ManagerModel.Answers {
+    private static final long START = 1_000_000;
+    /** After the last arrival a run goes on until all is answered. */
+    private static final long DRAIN = 10_000;
+    private static final long DRAINS_FOR = 30_000;
+    private static final long DOWN_FOR = 20_000;
+    /** Silence is noticed so many times later than a death. */
+    private static final int SILENCE_LATER = 3;
+
+    private final FleetPlan plan;
+    private final Calendar calendar = new Calendar(START);
+    private final Streams streams;
+    private final RuleWatch rules;
+    private final Scoreboard score;
+    private final TrafficSource traffic;
+    private final RandomGenerator clients;
+    private final List<EngineModel> engines = new ArrayList<>();
+    private final List<ManagerModel> managers = new ArrayList<>();
+    private final double[] managerEnds;
+    private final List<Trouble> dear = new ArrayList<>();
+    private double boost = 1;
+
+    private FleetRun(FleetPlan plan, Choice choice, long seed) {
+        this.plan = plan;
+        streams = new Streams(seed);
+        rules = new RuleWatch(plan);
+        score = new Scoreboard(plan, START);
+        traffic = new TrafficSource(plan, streams);
+        clients = streams.of("clients", 0);
+        for (int e = 0; e < plan.engines().count(); e++) {
+            engines.add(new EngineModel(e, plan, calendar, streams, rules));
+        }
+        int count = plan.managers().count();
+        managerEnds = new double[count];
+        double sum = 0;
+        for (int m = 0; m < count; m++) {
+            managers.add(new ManagerModel(m, plan, choice, calendar, streams, rules, engines, this));
+            sum += 1 - plan.managers().unequal() + 2 * plan.managers().unequal() * (m + 0.5) / count;
+            managerEnds[m] = sum;
+        }
+    }
+
+    /** Plays it; the progress of a long run is nobody's matter here. */
+    public static FleetResult play(FleetPlan plan, Choice choice, long seed) {
+        return new FleetRun(plan, choice, seed).play(choice, seed);
+    }
+
+    private FleetResult play(Choice choice, long seed) {
+        managers.forEach(ManagerModel::start);
+        int number = 0;
+        for (Trouble t : plan.troubles()) {
+            RandomGenerator chance = streams.of("trouble", number++);
+            calendar.in(t.at(), () -> strike(t, chance));
+        }
+        calendar.in(traffic.next(START, START, 1) - START, this::arrival);
+        long longest = plan.groups().stream().mapToLong(FleetPlan.Group::limit).max().orElse(0);
+        long happened = calendar.play(START + plan.length() + longest + DRAIN);
+        return new FleetResult(choice.name(), seed, score.figures(), rules.broken(), score.batches(), happened);
+    }
+
+    // ---- Clients.
+    private void arrival() {
+        long now = calendar.now();
+        if (now >= START + plan.length()) {
+            return;
+        }
+        Work is = traffic.draw(now, dear);
+        score.asked(is);
+        goes(is);
+        calendar.in(traffic.next(now, START, boost) - now, this::arrival);
+    }
+
+    private void goes(Work is) {
+        long now = calendar.now();
+        is.tries++;
+        ManagerModel to = managers.get(manager(is));
+        long patience = Math.round((is.limit - is.asked) * plan.clients().tryShare());
+        if (!to.up()) {
+            again(is, 0, true);
+        } else {
+            to.take(is, Math.min(is.limit, now + Math.max(1, patience)));
+        }
+    }
+
+    private int manager(Work is) {
+        double at = is.key >= 0 ? Math.floorMod(is.key * 0x9E3779B97F4A7C15L, 1L << 40) / (double) (1L << 40)
+                : clients.nextDouble();
+        at *= managerEnds[managerEnds.length - 1];
+        int m = 0;
+        while (m < managerEnds.length - 1 && managerEnds[m] <= at) {
+            m++;
+        }
+        return m;
+    }
+
+    private void again(Work is, long comeBack, boolean harmless) {
+        boolean may = harmless || plan.groups().get(is.group).effect() != Effect.ONCE_ONLY;
+        long wait = plan.clients().pause().drawTime(clients);
+        if (comeBack > 0 && clients.nextDouble() < plan.clients().honour()) {
+            wait = Math.max(wait, comeBack);
+        }
+        if (!is.done && may && is.tries <= plan.clients().retries() && calendar.now() + wait < is.limit) {
+            calendar.in(wait, () -> goes(is));
+        }
+    }
+
+    @Override
+    public void returned(Work is) {
+        if (!is.done) {
+            is.done = true;
+            score.returned(calendar.now(), is);
+        }
+    }
+
+    @Override
+    public void pushedBack(Work is, long comeBack) {
+        score.pushedBack();
+        again(is, comeBack, true);
+    }
+
+    @Override
+    public void errored(Work is) {
+        score.errored();
+        again(is, 0, false);
+    }
+
+    // ---- Troubles.
+    private List<Integer> struck(int of, double part, RandomGenerator chance) {
+        List<Integer> all = new ArrayList<>();
+        for (int i = 0; i < of; i++) {
+            all.add(i);
+        }
+        Collections.shuffle(all, new Random(chance.nextLong()));
+        return all.subList(0, (int) Math.min(of, Math.max(1, Math.round(of * part))));
+    }
+
+    private void strike(Trouble t, RandomGenerator chance) {
+        switch (t.kind()) {
+            case CRASH -> struck(engines.size(), t.part(), chance).forEach(e -> down(e, EngineModel.Standing.DOWN,
+                    t.length() / 2 + chance.nextLong(t.length() / 2 + 1), 1, chance));
+            case SILENCE -> struck(engines.size(), t.part(), chance).forEach(e -> down(e, EngineModel.Standing.SILENT,
+                    t.length() / 2 + chance.nextLong(t.length() / 2 + 1), SILENCE_LATER, chance));
+            case HANG -> struck(engines.size(), t.part(), chance).forEach(e -> {
+                engines.get(e).becomes(EngineModel.Standing.HANGING);
+                calendar.in(t.length(), () -> engines.get(e).becomes(EngineModel.Standing.UP));
+            });
+            case RELEASE -> release(t, chance);
+            case RESTART -> struck(managers.size(), t.part(), chance).forEach(m -> calendar.in(
+                    t.length() > 0 ? chance.nextLong(t.length()) : 0, () -> {
+                        managers.get(m).kill();
+                        calendar.in(plan.managers().restart().drawTime(chance), () -> managers.get(m).start());
+                    }));
+            case BURST -> {
+                boost = t.size();
+                calendar.in(t.length(), () -> boost = 1);
+            }
+            case EXPENSIVE, EXPENSIVE_UNSEEN -> {
+                dear.add(t);
+                calendar.in(t.length(), () -> dear.remove(t));
+            }
+            case SLOW -> {
+                engines.forEach(e -> e.slower(t.size()));
+                calendar.in(t.length(), () -> engines.forEach(e -> e.slower(1)));
+            }
+            case LATE_REPORTS -> {
+                managers.forEach(m -> m.reportsLater(Math.round(t.size() * 10_000)));
+                calendar.in(t.length(), () -> managers.forEach(m -> m.reportsLater(0)));
+            }
+            case COLD -> struck(engines.size(), t.part(), chance).forEach(e -> {
+                engines.get(e).cools();
+                tell(e, Standing.ACTIVE, calendar.now(), 1, chance);
+            });
+        }
+    }
+
+    private void down(int e, EngineModel.Standing how, long length, int later, RandomGenerator chance) {
+        engines.get(e).becomes(how);
+        tell(e, Standing.LEFT, 0, later, chance);
+        calendar.in(length, () -> {
+            engines.get(e).becomes(EngineModel.Standing.UP);
+            tell(e, Standing.ACTIVE, calendar.now(), 1, chance);
+        });
+    }
+
+    /** Each manager hears it when its own list comes round. */
+    private void tell(int e, Standing standing, long since, int later, RandomGenerator chance) {
+        int[] said = {version(e)};
+        for (ManagerModel m : managers) {
+            calendar.in(later * plan.managers().listDelay().drawTime(chance), () -> {
+                if (versions[e] == said[0] || later == 1) {
+                    m.listed(e, standing, since);
+                }
+            });
+        }
+    }
+
+    private int[] versions = new int[0];
+
+    private int version(int e) {
+        if (versions.length == 0) {
+            versions = new int[engines.size()];
+        }
+        return ++versions[e];
+    }
+
+    private void release(Trouble t, RandomGenerator chance) {
+        List<Integer> all = struck(engines.size(), t.part(), chance);
+        int each = (int) Math.max(1, Math.round(engines.size() * t.extra()));
+        int steps = (all.size() + each - 1) / each;
+        for (int i = 0; i < all.size(); i++) {
+            int e = all.get(i);
+            calendar.in(i / each * (t.length() / Math.max(1, steps)), () -> {
+                engines.get(e).becomes(EngineModel.Standing.DRAINING);
+                tell(e, Standing.LEAVING, 0, 1, chance);
+                calendar.in(DRAINS_FOR, () -> down(e, EngineModel.Standing.DOWN, DOWN_FOR, 1, chance));
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/fleet/ManagerModel.java
@@ -0,0 +1,355 @@
+package firstage.fleet;
+
+import firstage.door.Arrival;
+import firstage.door.Deployment;
+import firstage.door.Ending;
+import firstage.door.EngineList;
+import firstage.door.EngineList.Standing;
+import firstage.door.Host;
+import firstage.door.Note;
+import firstage.door.Outcome;
+import firstage.door.Report;
+import firstage.door.WorkloadManager;
+import firstage.fleet.EngineModel.Job;
+import firstage.setup.Indices;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * One manager of the fleet: the decisions behind their door, and what carries them in virtual time. It hands the decisions
+ * estimates and what is observed, never what a batch truly costs.
+ */
+final class ManagerModel implements Host {
+    private static final long CONNECT = 2_500;
+
+    /** What becomes of a try, told to its client. */
+    interface Answers {
+        void returned(Work is);
+
+        void pushedBack(Work is, long comeBack);
+
+        void errored(Work is);
+    }
+
+    private static final class Open {
+        private final RuleWatch.Try is;
+        private int index = -1;
+        private boolean over;
+        private int dispatches;
+        private int grant;
+        private int priority = 1;
+        private final List<Sent> out = new ArrayList<>();
+
+        private Open(RuleWatch.Try is) {
+            this.is = is;
+        }
+    }
+
+    /** A dispatch that is out, from here to its outcome. */
+    private final class Sent implements EngineModel.Listener {
+        private final Open b;
+        private final EngineModel engine;
+        private final int number;
+        private final long at = calendar.now();
+        private final int mine = life;
+        private final Job job;
+        private boolean over;
+
+        private Sent(Open b, EngineModel engine, int number) {
+            this.b = b;
+            this.engine = engine;
+            this.number = number;
+            job = new Job(b.is.is, plan.groups().get(b.is.is.group), this, number, b.grant > 0 ? b.grant
+                    : b.is.is.memoryTold * 1.25, b.priority);
+        }
+
+        @Override
+        public void ended(Job ended, Outcome how) {
+            calendar.in(way(), () -> over(how));
+        }
+
+        @Override
+        public void noted(Job noted, Note.Kind what, double amount) {
+            calendar.in(way(), () -> {
+                if (!over && mine == life) {
+                    manager.noted(calendar.now(), new Note(b.index, number, engine.number(), what, amount));
+                    stir();
+                }
+            });
+        }
+
+        private void over(Outcome how) {
+            if (over || mine != life) {
+                return;
+            }
+            over = true;
+            b.out.remove(this);
+            rules.ended(calendar.now(), b.is, how);
+            if (how == Outcome.RETURNED && !b.over) {
+                b.over = true;
+                rules.answered(calendar.now(), b.is, false);
+                answers.returned(b.is.is);
+            }
+            manager.ended(calendar.now(), new Ending(b.index, number, engine.number(), how, calendar.now() - at, 0, 0,
+                    b.over, null, 0));
+            stir();
+        }
+    }
+
+    private final int number;
+    private final FleetPlan plan;
+    private final Choice choice;
+    private final Calendar calendar;
+    private final Streams streams;
+    private final RuleWatch rules;
+    private final List<EngineModel> engines;
+    private final Answers answers;
+    private final RandomGenerator chance;
+    private WorkloadManager manager;
+    private Indices<Open> batches = new Indices<>();
+    private Indices<Integer> keys = new Indices<>();
+    private int life;
+    private boolean up;
+    private boolean turnDue;
+    private long reportsLater;
+    private final Set<Open> open = new LinkedHashSet<>();
+    /** The list as it last had it: by engine, standing and start. */
+    private final Map<Integer, EngineList.Entry> list = new HashMap<>();
+
+    ManagerModel(int number, FleetPlan plan, Choice choice, Calendar calendar, Streams streams, RuleWatch rules,
+                 List<EngineModel> engines, Answers answers) {
+        this.number = number;
+        this.plan = plan;
+        this.choice = choice;
+        this.calendar = calendar;
+        this.streams = streams;
+        this.rules = rules;
+        this.engines = engines;
+        this.answers = answers;
+        chance = streams.of("manager", number);
+        for (EngineModel e : engines) {
+            list.put(e.number(), entry(e.number(), Standing.ACTIVE, 0));
+        }
+    }
+
+    boolean up() {
+        return up;
+    }
+
+    /** Starts with nothing but its last list. */
+    void start() {
+        life++;
+        up = true;
+        batches = new Indices<>();
+        keys = new Indices<>();
+        manager = choice.start(FleetDeployment.of(plan, number, streams.seed("manager-life", number * 1_000L + life),
+                choice.bounds()), this);
+        manager.listed(calendar.now(), new EngineList(EngineList.Kind.REMEMBERED, List.copyOf(list.values())));
+        stir();
+    }
+
+    /** Killed: its clients must ask again, what it had out goes on at the engines. */
+    void kill() {
+        List<RuleWatch.Try> held = new ArrayList<>();
+        for (Open b : open) {
+            if (!b.over) {
+                held.add(b.is);
+            }
+        }
+        rules.killed(number, held);
+        List<Open> lost = new ArrayList<>(open);
+        open.clear();
+        up = false;
+        life++;
+        lost.stream().filter(b -> !b.over).forEach(b -> answers.errored(b.is.is));
+    }
+
+    void reportsLater(long later) {
+        reportsLater = later;
+    }
+
+    private long way() {
+        return Math.max(1, plan.net().way().drawTime(chance));
+    }
+
+    private void stir() {
+        if (!turnDue) {
+            turnDue = true;
+            int mine = life;
+            calendar.in(0, () -> {
+                turnDue = false;
+                if (mine == life && up) {
+                    manager.turn(calendar.now());
+                }
+            });
+        }
+    }
+
+    /** A client's try is here. */
+    void take(Work is, long notAfter) {
+        Open b = new Open(new RuleWatch.Try(is, number, notAfter));
+        b.index = batches.of(b);
+        open.add(b);
+        rules.took(b.is);
+        int mine = life;
+        calendar.in(notAfter - calendar.now(), () -> timeUp(b, mine));
+        calendar.in(notAfter - calendar.now() + 250, () -> rules.due(calendar.now(), b.is));
+        manager.taken(calendar.now(), new Arrival(b.index, is.group, plan.customers().size() > 1 ? is.customer : 0,
+                is.key < 0 ? -1 : keys.of(is.key), notAfter, is.estimate, is.memoryTold, is.tables, false, false));
+        stir();
+    }
+
+    private void timeUp(Open b, int mine) {
+        if (mine != life) {
+            return;
+        }
+        for (Sent s : List.copyOf(b.out)) {
+            if (plan.managers().callOff()) {
+                s.engine.callOff(s.job);
+            }
+            s.over(Outcome.TIMED_OUT);
+        }
+        calendar.in(100, () -> {
+            if (mine == life && !b.over) {
+                error(b.index);
+                manager.clientLeft(calendar.now(), b.index);
+                stir();
+            }
+        });
+    }
+
+    /** What the list service says of an engine, as it comes here. */
+    void listed(int engine, Standing standing, long since) {
+        EngineList.Entry entry = entry(engine, standing, since);
+        list.put(engine, entry);
+        if (up) {
+            rules.listed(calendar.now(), number, engine, standing == Standing.ACTIVE);
+            manager.listed(calendar.now(), new EngineList(EngineList.Kind.CHANGES, List.of(entry)));
+            stir();
+        }
+    }
+
+    private static EngineList.Entry entry(int engine, Standing standing, long since) {
+        // The mark is the same at every manager, and tells nothing of the engine's number.
+        return new EngineList.Entry(engine, (engine + 1) * 2_654_435_761L & 0xFFFFFFFFL, 0, 0, 0, standing, 1, since);
+    }
+
+    // ---- What is decided.
+    @Override
+    public void provide(int batch, int grantMb, int priority) {
+        Open b = batches.id(batch);
+        b.grant = grantMb;
+        b.priority = priority;
+        for (Sent s : b.out) {
+            calendar.in(way(), () -> s.engine.priority(s.job, priority));
+        }
+    }
+
+    @Override
+    public void dispatch(int batch, int engine, long within) {
+        Open b = batches.id(batch);
+        EngineModel e = engines.get(engine);
+        rules.dispatched(calendar.now(), b.is, engine);
+        Sent s = new Sent(b, e, b.dispatches++);
+        b.out.add(s);
+        boolean fresh = e.standing() == EngineModel.Standing.SILENT && chance.nextBoolean();
+        if (fresh) {
+            // A new connection to a machine that is gone never comes up; what goes out on an old one is lost.
+            calendar.in(CONNECT, () -> s.over(Outcome.NO_CONNECTION));
+        } else {
+            calendar.in(way(), () -> e.send(s.job));
+        }
+    }
+
+    @Override
+    public void callOff(int batch, int dispatch) {
+        for (Sent s : List.copyOf(batches.id(batch).out)) {
+            if (s.number == dispatch) {
+                calendar.in(way(), () -> s.engine.callOff(s.job));
+                calendar.in(1, () -> s.over(Outcome.CALLED_OFF));
+            }
+        }
+    }
+
+    @Override
+    public void pushBack(int batch, long comeBack) {
+        Open b = batches.id(batch);
+        if (!b.over) {
+            b.over = true;
+            rules.answered(calendar.now(), b.is, true);
+            answers.pushedBack(b.is.is, comeBack);
+        }
+    }
+
+    @Override
+    public void error(int batch) {
+        Open b = batches.id(batch);
+        if (!b.over) {
+            b.over = true;
+            rules.answered(calendar.now(), b.is, false);
+            answers.errored(b.is.is);
+        }
+    }
+
+    @Override
+    public void forgetBatch(int batch) {
+        open.remove(batches.id(batch));
+        batches.release(batch);
+    }
+
+    @Override
+    public void forgetKey(int key) {
+        keys.release(key);
+    }
+
+    @Override
+    public void forgetEngine(int engine) {
+        // Engines keep their numbers for the whole run.
+    }
+
+    @Override
+    public void probe(int engine) {
+        EngineModel e = engines.get(engine);
+        int mine = life;
+        boolean answers = e.standing() == EngineModel.Standing.UP || e.standing() == EngineModel.Standing.DRAINING;
+        Report report = new Report(Double.NaN, e.waiting(), Double.NaN, Double.NaN, Double.NaN);
+        calendar.in(answers ? 2 * way() + reportsLater : CONNECT, () -> {
+            if (mine == life) {
+                manager.probed(calendar.now(), engine, answers ? Outcome.RETURNED : Outcome.TIMED_OUT,
+                        answers ? report : null);
+                stir();
+            }
+        });
+    }
+
+    @Override
+    public void tellPeers(byte[] words) {
+        // Managers of this fleet do not talk to each other.
+    }
+
+    @Override
+    public void subscribe() {
+        // The list comes unasked.
+    }
+
+    @Override
+    public void wakeIn(long delay, long token) {
+        int mine = life;
+        calendar.in(Math.max(1, delay), () -> {
+            if (mine == life && up) {
+                manager.woken(calendar.now(), token);
+                stir();
+            }
+        });
+    }
+
+    @Override
+    public void log(String line) {
+        // A model's managers have nobody on call.
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/fleet/PlainPolicy.java
@@ -0,0 +1,204 @@
+package firstage.fleet;
+
+import firstage.door.Arrival;
+import firstage.door.Deployment;
+import firstage.door.Ending;
+import firstage.door.EngineList;
+import firstage.door.Host;
+import firstage.door.Note;
+import firstage.door.Outcome;
+import firstage.door.Report;
+import firstage.door.ServiceGroup;
+import firstage.door.WorkloadManager;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+/**
+ * Textbook policies behind the same door, as baselines: each batch goes at once to an engine that is up, batches of a key
+ * one at a time. None sends anything again, holds grants or watches health.
+ */
+final class PlainPolicy implements WorkloadManager {
+    /** How the engine is chosen. */
+    enum Kind { RANDOM, ROUND_ROBIN, LEAST_OUTSTANDING, TWO_CHOICES }
+
+    private static final class Open {
+        private final Arrival is;
+        private int engine = -1;
+
+        private Open(Arrival is) {
+            this.is = is;
+        }
+    }
+
+    private final Kind kind;
+    private final Host host;
+    private final Deployment deployment;
+    private final RandomGenerator chance;
+    private final TreeMap<Integer, Integer> out = new TreeMap<>();
+    private final List<Integer> up = new ArrayList<>();
+    private final Map<Integer, Open> open = new HashMap<>();
+    private final Map<Integer, ArrayDeque<Open>> keys = new HashMap<>();
+    private final Map<Integer, Long> rests = new HashMap<>();
+    private int next;
+
+    PlainPolicy(Kind kind, Deployment deployment, Host host) {
+        this.kind = kind;
+        this.host = host;
+        this.deployment = deployment;
+        chance = RandomGeneratorFactory.of("L64X128MixRandom").create(deployment.seed());
+    }
+
+    @Override
+    public void taken(long now, Arrival arrival) {
+        Open b = new Open(arrival);
+        open.put(arrival.batch(), b);
+        ServiceGroup is = deployment.groups().get(arrival.group());
+        if (is.ordered() && arrival.key() >= 0) {
+            ArrayDeque<Open> line = keys.computeIfAbsent(arrival.key(), k -> new ArrayDeque<>());
+            line.add(b);
+            if (line.size() > 1 || rests.getOrDefault(arrival.key(), 0L) > now) {
+                host.wakeIn(Math.max(1, rests.getOrDefault(arrival.key(), 0L) - now), arrival.key());
+                return;
+            }
+        }
+        go(b);
+    }
+
+    private void go(Open b) {
+        if (up.isEmpty()) {
+            host.pushBack(b.is.batch(), 0);
+            close(b);
+            return;
+        }
+        b.engine = pick();
+        out.merge(b.engine, 1, Integer::sum);
+        host.dispatch(b.is.batch(), b.engine, 0);
+    }
+
+    private int pick() {
+        return switch (kind) {
+            case RANDOM -> up.get(chance.nextInt(up.size()));
+            case ROUND_ROBIN -> up.get(Math.floorMod(next++, up.size()));
+            case LEAST_OUTSTANDING -> {
+                int best = up.get(chance.nextInt(up.size()));
+                for (int e : up) {
+                    best = out(e) < out(best) ? e : best;
+                }
+                yield best;
+            }
+            case TWO_CHOICES -> {
+                int one = up.get(chance.nextInt(up.size()));
+                int two = up.get(chance.nextInt(up.size()));
+                yield out(two) < out(one) ? two : one;
+            }
+        };
+    }
+
+    @Override
+    public void ended(long now, Ending ending) {
+        Open b = open.get(ending.batch());
+        if (b == null) {
+            return;
+        }
+        out.merge(ending.engine(), -1, Integer::sum);
+        b.engine = -1;
+        if (!ending.closed()) {
+            if (ending.outcome().mayHaveRun) {
+                host.error(b.is.batch());
+            } else {
+                host.pushBack(b.is.batch(), 0);
+            }
+        }
+        boolean rests = ending.outcome() != Outcome.RETURNED && ending.outcome().mayHaveRun;
+        if (rests && b.is.key() >= 0) {
+            this.rests.put(b.is.key(), now + Math.max(deployment.rules().keyRest(), ending.mayHold()));
+        }
+        close(b);
+        follow(now, b.is.key());
+    }
+
+    /** The next of a key, once it has rested. */
+    private void follow(long now, int key) {
+        ArrayDeque<Open> line = keys.get(key);
+        if (line == null || line.isEmpty() || line.peek().engine >= 0) {
+            return;
+        }
+        long rest = rests.getOrDefault(key, 0L) - now;
+        if (rest > 0) {
+            host.wakeIn(rest, key);
+        } else {
+            go(line.peek());
+        }
+    }
+
+    private void close(Open b) {
+        if (b.engine < 0 && open.remove(b.is.batch()) != null) {
+            ArrayDeque<Open> line = keys.get(b.is.key());
+            if (line != null) {
+                line.remove(b);
+                if (line.isEmpty()) {
+                    keys.remove(b.is.key());
+                }
+            }
+            host.forgetBatch(b.is.batch());
+        }
+    }
+
+    @Override
+    public void clientLeft(long now, int batch) {
+        Open b = open.get(batch);
+        if (b != null && b.engine < 0) {
+            close(b);
+            follow(now, b.is.key());
+        }
+    }
+
+    @Override
+    public void listed(long now, EngineList list) {
+        if (list.kind() == EngineList.Kind.WHOLE || list.kind() == EngineList.Kind.REMEMBERED) {
+            up.clear();
+        }
+        for (EngineList.Entry e : list.entries()) {
+            up.remove((Integer) e.engine());
+            if (e.standing() == EngineList.Standing.ACTIVE) {
+                up.add(e.engine());
+            }
+        }
+    }
+
+    @Override
+    public void noted(long now, Note note) {
+        // None of these listens.
+    }
+
+    @Override
+    public void probed(long now, int engine, Outcome outcome, Report report) {
+        // None of these asks.
+    }
+
+    @Override
+    public void closing(long now, long endsAt) {
+        // What is out is answered as it ends.
+    }
+
+    @Override
+    public void woken(long now, long token) {
+        follow(now, (int) token);
+    }
+
+    @Override
+    public int out(int engine) {
+        return out.getOrDefault(engine, 0);
+    }
+
+    @Override
+    public void turn(long now) {
+        // Each acts at once.
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/fleet/RuleWatch.java
@@ -0,0 +1,188 @@
+package firstage.fleet;
+
+import firstage.door.Outcome;
+import firstage.door.ServiceGroup.Effect;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The rules, by what crosses between managers, engines and clients; it never asks what a manager remembers. What it can
+ * see of each: 1 one answer for each try, in time; 2 once-only batches at engines once, pushed back only while none may
+ * have run, referenced ones within their window; 3 nothing to an engine past the grace after its drain was told; 4 no
+ * cold engine pushed over; 5 one at a time and in turn for each key and manager, with its rest. A fleet file states
+ * neither places (6) nor a budget (7).
+ */
+final class RuleWatch {
+    private static final long SLACK = 200;
+    private static final int KEPT = 20;
+
+    /** One try of a batch at one manager. */
+    static final class Try {
+        final Work is;
+        final int manager;
+        final long notAfter;
+        private int answers;
+        private boolean void_;
+        private int out;
+        private boolean mayHaveRun;
+        private long firstRan = -1;
+
+        Try(Work is, int manager, long notAfter) {
+            this.is = is;
+            this.manager = manager;
+            this.notAfter = notAfter;
+        }
+    }
+
+    private static final class Key {
+        private final List<Try> open = new ArrayList<>();
+        private Try running;
+        private long restUntil;
+    }
+
+    private final FleetPlan plan;
+    private final List<String> broken = new ArrayList<>();
+    private long count;
+    private final Map<Long, Integer> runs = new HashMap<>();
+    private final List<Map<Integer, Key>> keys = new ArrayList<>();
+    /** By manager and engine, when it was told of a drain or an end; absent while it is up. */
+    private final List<Map<Integer, Long>> drains = new ArrayList<>();
+
+    RuleWatch(FleetPlan plan) {
+        this.plan = plan;
+        for (int m = 0; m < plan.managers().count(); m++) {
+            keys.add(new HashMap<>());
+            drains.add(new HashMap<>());
+        }
+    }
+
+    void took(Try t) {
+        if (t.is.key >= 0) {
+            keys.get(t.manager).computeIfAbsent(t.is.key, k -> new Key()).open.add(t);
+        }
+    }
+
+    void listed(long now, int manager, int engine, boolean up) {
+        if (up) {
+            drains.get(manager).remove(engine);
+        } else {
+            drains.get(manager).putIfAbsent(engine, now);
+        }
+    }
+
+    /** What it held is no duty of anybody's. */
+    void killed(int manager, Iterable<Try> held) {
+        held.forEach(t -> t.void_ = true);
+        keys.get(manager).clear();
+        drains.get(manager).clear();
+    }
+
+    void dispatched(long now, Try t, int engine) {
+        Effect effect = plan.groups().get(t.is.group).effect();
+        if (t.answers > 0) {
+            breaks(now, 1, t, "sent after its answer");
+        }
+        if (effect == Effect.ONCE_ONLY && (t.mayHaveRun || t.out > 0)) {
+            breaks(now, 2, t, "sent again, and may have run");
+        }
+        if (effect == Effect.REFERENCED && t.firstRan >= 0
+                && now > t.firstRan + plan.groups().get(t.is.group).window()) {
+            breaks(now, 2, t, "sent again past its window");
+        }
+        Long drain = drains.get(t.manager).get(engine);
+        if (drain != null && now > drain + plan.rules().drainGrace()) {
+            breaks(now, 3, t, "sent to engine " + engine + ", whose drain was told " + (now - drain) / 10 + " ms before");
+        }
+        t.out++;
+        t.firstRan = t.firstRan < 0 ? now : t.firstRan;
+        Key key = t.is.key >= 0 ? keys.get(t.manager).get(t.is.key) : null;
+        if (key != null) {
+            if (key.open.get(0) != t || key.running != null && key.running != t) {
+                breaks(now, 5, t, "sent out of turn");
+            }
+            if (key.running == null && now < key.restUntil && t.firstRan == now) {
+                breaks(now, 5, t, "sent while its key rests");
+            }
+            key.running = t;
+        }
+    }
+
+    void ended(long now, Try t, Outcome how) {
+        t.out--;
+        t.mayHaveRun |= how.mayHaveRun;
+        if (!how.mayHaveRun && !t.mayHaveRun && t.out == 0) {
+            t.firstRan = -1;
+        }
+        Key key = t.is.key >= 0 ? keys.get(t.manager).get(t.is.key) : null;
+        if (key != null && t.out == 0 && key.running == t) {
+            key.running = null;
+            if (how == Outcome.TIMED_OUT || how == Outcome.BROKEN || how == Outcome.CALLED_OFF) {
+                key.restUntil = now + plan.rules().keyRest();
+            }
+        }
+    }
+
+    void answered(long now, Try t, boolean pushedBack) {
+        if (++t.answers > 1) {
+            breaks(now, 1, t, "answered twice");
+        }
+        if (now > t.notAfter + SLACK) {
+            breaks(now, 1, t, "answered " + (now - t.notAfter) / 10 + " ms late");
+        }
+        if (pushedBack && plan.groups().get(t.is.group).effect() == Effect.ONCE_ONLY && (t.mayHaveRun || t.out > 0)) {
+            breaks(now, 2, t, "pushed back, and may have run");
+        }
+        Key key = t.is.key >= 0 ? keys.get(t.manager).get(t.is.key) : null;
+        if (key != null) {
+            key.open.remove(t);
+        }
+    }
+
+    /** Its time is over and a little more; it must have its answer. */
+    void due(long now, Try t) {
+        if (t.answers == 0 && !t.void_) {
+            breaks(now, 1, t, "never answered");
+        }
+    }
+
+    /** A run begins at an engine. */
+    void runs(Work is, long now) {
+        if (runs.merge(is.id, 1, Integer::sum) > 1 && plan.groups().get(is.group).effect() == Effect.ONCE_ONLY) {
+            breaks(now, 2, new Try(is, -1, 0), "runs twice");
+        }
+    }
+
+    /** A run ends there. */
+    void stops(Work is) {
+        if (plan.groups().get(is.group).effect() != Effect.ONCE_ONLY) {
+            runs.remove(is.id);
+        }
+    }
+
+    void fell(int engine, long now) {
+        count++;
+        keep("rule 4 at " + now / 10 + " ms: cold engine " + engine + " was pushed over");
+    }
+
+    private void breaks(long now, int rule, Try t, String how) {
+        count++;
+        keep("rule " + rule + " at " + now / 10 + " ms: batch " + t.is.id + " at manager " + t.manager + " " + how);
+    }
+
+    private void keep(String line) {
+        if (broken.size() < KEPT) {
+            broken.add(line);
+        }
+    }
+
+    /** What broke: which rule, when, by whom; the first of them. */
+    List<String> broken() {
+        return broken;
+    }
+
+    long count() {
+        return count;
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/fleet/Scoreboard.java
@@ -0,0 +1,128 @@
+package firstage.fleet;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Service as the brief counts it: the utility answered within each response goal over the utility asked for, a client's
+ * retries with its first try, a late answer at its group's late value; over the whole run, its worst 10 s, the worst-served
+ * group and customer, and all of them by the goal's weights.
+ */
+final class Scoreboard {
+    private static final long SPAN = 100_000;
+    private static final long MOST_LATENCY = 36_000_000;
+
+    private final FleetPlan plan;
+    private final long start;
+    private final double[] asked;
+    private final double[] served;
+    private final double[][] byGroup;
+    private final double[][] byCustomer;
+    private final List<Histogram> latency = new ArrayList<>();
+    private long batches;
+    private long returned;
+    private long late;
+    private long pushedBack;
+    private long errored;
+
+    Scoreboard(FleetPlan plan, long start) {
+        this.plan = plan;
+        this.start = start;
+        int spans = (int) (plan.length() / SPAN) + 1;
+        asked = new double[spans];
+        served = new double[spans];
+        byGroup = new double[plan.groups().size()][2];
+        byCustomer = new double[plan.customers().size()][2];
+        plan.groups().forEach(g -> latency.add(new Histogram(MOST_LATENCY, 2)));
+    }
+
+    private int span(Work is) {
+        return (int) Math.min(asked.length - 1, (is.asked - start) / SPAN);
+    }
+
+    void asked(Work is) {
+        double utility = plan.groups().get(is.group).utility();
+        batches++;
+        asked[span(is)] += utility;
+        byGroup[is.group][0] += utility;
+        byCustomer[is.customer][0] += utility;
+    }
+
+    void returned(long now, Work is) {
+        FleetPlan.Group group = plan.groups().get(is.group);
+        long took = now - is.asked;
+        boolean inTime = took <= group.goal() + group.stretch() * is.work / group.threads();
+        double earned = now > is.limit ? 0 : group.utility() * (inTime ? 1 : group.lateValue());
+        returned++;
+        late += inTime ? 0 : 1;
+        served[span(is)] += earned;
+        byGroup[is.group][1] += earned;
+        byCustomer[is.customer][1] += earned;
+        latency.get(is.group).recordValue(Math.min(took, MOST_LATENCY));
+    }
+
+    void pushedBack() {
+        pushedBack++;
+    }
+
+    void errored() {
+        errored++;
+    }
+
+    private static double share(double part, double whole) {
+        return whole > 0 ? part / whole : 1;
+    }
+
+    /** The run's figures by name, in a stated order. */
+    Map<String, Double> figures() {
+        double all = 0;
+        double got = 0;
+        double worst = 1;
+        for (int i = 0; i < asked.length; i++) {
+            all += asked[i];
+            got += served[i];
+            // A last piece of a span has too few batches to be anybody's worst.
+            worst = i == asked.length - 1 && plan.length() % SPAN < SPAN / 2 ? worst
+                    : Math.min(worst, share(served[i], asked[i]));
+        }
+        Map<String, Double> figures = new LinkedHashMap<>();
+        double worstGroup = 1;
+        double worstCustomer = 1;
+        for (double[] g : byGroup) {
+            worstGroup = Math.min(worstGroup, share(g[1], g[0]));
+        }
+        for (double[] c : byCustomer) {
+            worstCustomer = Math.min(worstCustomer, share(c[1], c[0]));
+        }
+        FleetPlan.Goal goal = plan.goal();
+        double weights = goal.whole() + goal.worstSpan() + goal.worstGroup() + goal.worstCustomer();
+        figures.put("service", (goal.whole() * share(got, all) + goal.worstSpan() * worst
+                + goal.worstGroup() * worstGroup + goal.worstCustomer() * worstCustomer) / weights);
+        figures.put("whole run", share(got, all));
+        figures.put("worst 10 s", worst);
+        figures.put("worst group", worstGroup);
+        figures.put("worst customer", worstCustomer);
+        for (int g = 0; g < byGroup.length; g++) {
+            figures.put("group " + plan.groups().get(g).name(), share(byGroup[g][1], byGroup[g][0]));
+        }
+        for (int c = 0; c < byCustomer.length; c++) {
+            figures.put("customer " + plan.customers().get(c).name(), share(byCustomer[c][1], byCustomer[c][0]));
+        }
+        for (int g = 0; g < byGroup.length; g++) {
+            String name = plan.groups().get(g).name();
+            figures.put("median ms " + name, latency.get(g).getValueAtPercentile(50) / 10.0);
+            figures.put("99th ms " + name, latency.get(g).getValueAtPercentile(99) / 10.0);
+        }
+        figures.put("pushed back a batch", share(pushedBack, Math.max(1, batches)));
+        figures.put("errored a batch", share(errored, Math.max(1, batches)));
+        figures.put("late of returned", share(late, Math.max(1, returned)));
+        return figures;
+    }
+
+    long batches() {
+        return batches;
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/fleet/TrafficShape.java
@@ -0,0 +1,64 @@
+package firstage.fleet;
+
+import java.util.List;
+
+/** How traffic rises and falls over a run: a factor on the mean rate, by the share of the run that is over. */
+enum TrafficShape {
+    /** The same all the time. */
+    STEADY("steady") {
+        @Override
+        double factor(double at, double swing) {
+            return 1;
+        }
+    },
+    /** One wave up and down. */
+    WAVE("wave") {
+        @Override
+        double factor(double at, double swing) {
+            return 1 + swing * Math.sin(2 * Math.PI * at);
+        }
+    },
+    /** Seven nights that peak before dawn and after sunset, days that sag between: a week pressed into the run. */
+    RAMADAN_WEEK("ramadan-week") {
+        @Override
+        double factor(double at, double swing) {
+            double hour = at * 7 * 24 % 24;
+            double beforeDawn = bell(hour, 3.5, 1.2);
+            double afterSunset = bell(hour, 19.5, 2.0);
+            double noon = bell(hour, 13, 3);
+            return Math.max(0.1, 1 + swing * (2.2 * beforeDawn + 2.6 * afterSunset - 0.9 * noon));
+        }
+    },
+    /** Reports pile up over the run and peak in its last tenth. */
+    MONTH_END("month-end") {
+        @Override
+        double factor(double at, double swing) {
+            return 1 - swing / 2 + swing * at + (at > 0.9 ? 2 * swing * (at - 0.9) / 0.1 : 0);
+        }
+    },
+    /** Quiet, then a sale: a steep rise at a third, a slow fall. */
+    SALES("sales") {
+        @Override
+        double factor(double at, double swing) {
+            return at < 0.33 ? 1 - swing / 2 : 1 + 3 * swing * Math.exp(-(at - 0.33) * 6);
+        }
+    };
+
+    static final List<String> NAMES = java.util.Arrays.stream(values()).map(s -> s.word).toList();
+    private final String word;
+
+    TrafficShape(String word) {
+        this.word = word;
+    }
+
+    static TrafficShape of(String word) {
+        return values()[NAMES.indexOf(word)];
+    }
+
+    abstract double factor(double at, double swing);
+
+    private static double bell(double hour, double middle, double wide) {
+        double off = Math.min(Math.abs(hour - middle), 24 - Math.abs(hour - middle)) / wide;
+        return Math.exp(-off * off / 2);
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/fleet/TrafficSource.java
@@ -0,0 +1,99 @@
+package firstage.fleet;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+/** Draws what clients ask for: unequal customers, keys and tables of unequal heat, work and estimates that scatter. */
+final class TrafficSource {
+    private final FleetPlan plan;
+    private final TrafficShape shape;
+    private final RandomGenerator chance;
+    private final double[] groupEnds;
+    private final double[] customerEnds;
+    private final double[] keyEnds;
+    private final double[] tableEnds;
+    private final double most;
+    private long ids;
+
+    TrafficSource(FleetPlan plan, Streams streams) {
+        this.plan = plan;
+        shape = TrafficShape.of(plan.traffic().kind());
+        chance = streams.of("traffic", 0);
+        groupEnds = ends(plan.groups().stream().mapToDouble(FleetPlan.Group::share).toArray());
+        customerEnds = ends(plan.customers().stream().mapToDouble(FleetPlan.Customer::share).toArray());
+        keyEnds = ends(heat(plan.traffic().keys(), plan.traffic().keyHeat()));
+        tableEnds = ends(heat(plan.traffic().tables(), plan.traffic().tableHeat()));
+        double high = 0;
+        for (int i = 0; i <= 2_000; i++) {
+            high = Math.max(high, shape.factor(i / 2_000.0, plan.traffic().swing()));
+        }
+        most = high * 1.1;
+    }
+
+    private static double[] heat(int count, double heat) {
+        double[] shares = new double[count];
+        for (int i = 0; i < count; i++) {
+            shares[i] = Math.pow(i + 1, -heat);
+        }
+        return shares;
+    }
+
+    private static double[] ends(double[] shares) {
+        double[] ends = new double[shares.length];
+        double sum = 0;
+        for (int i = 0; i < shares.length; i++) {
+            sum += shares[i];
+            ends[i] = sum;
+        }
+        return ends;
+    }
+
+    private int pick(double[] ends) {
+        double at = chance.nextDouble() * ends[ends.length - 1];
+        int low = 0;
+        int high = ends.length - 1;
+        while (low < high) {
+            int middle = (low + high) >>> 1;
+            if (ends[middle] > at) {
+                high = middle;
+            } else {
+                low = middle + 1;
+            }
+        }
+        return low;
+    }
+
+    /** When the next batch comes after {@code now}, by thinning a stream of the highest rate. */
+    long next(long now, long start, double boost) {
+        double mean = 10_000 / (plan.traffic().rate() * most * boost);
+        long at = now;
+        do {
+            at += Math.max(1, Math.round(-Math.log(1 - chance.nextDouble()) * mean));
+        } while (chance.nextDouble() * most
+                > shape.factor(Math.min(1, (double) (at - start) / plan.length()), plan.traffic().swing()));
+        return at;
+    }
+
+    /** {@code dear}: spells that are on, by their group. */
+    Work draw(long now, List<FleetPlan.Trouble> dear) {
+        int g = pick(groupEnds);
+        FleetPlan.Group group = plan.groups().get(g);
+        double z = chance.nextGaussian();
+        double work = group.work() * Math.exp(group.spread() * z - group.spread() * group.spread() / 2);
+        double told = work;
+        double lot = chance.nextDouble();
+        for (FleetPlan.Trouble t : dear) {
+            if (t.group() == g && lot < t.extra()) {
+                work *= t.size();
+                told = t.kind() == FleetPlan.Trouble.Kind.EXPENSIVE ? work : told;
+            }
+        }
+        double memory = group.memoryMb() * Math.exp(0.5 * chance.nextGaussian());
+        double off = group.low() * Math.exp(group.scatter() * chance.nextGaussian());
+        double memoryOff = Math.exp(group.scatter() * chance.nextGaussian());
+        int customer = pick(customerEnds);
+        int key = group.ordered() && plan.traffic().keys() > 0 ? pick(keyEnds) : -1;
+        return new Work(ids++, g, customer, key, pick(tableEnds), now, now + group.limit(), Math.max(1, work), memory,
+                Math.max(1, Math.round(told * off)), (int) Math.max(1, memory * memoryOff));
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/fleet/Work.java
@@ -0,0 +1,39 @@
+package firstage.fleet;
+
+/**
+ * A batch as it truly is: what its client wants, and what it costs. Only estimates and what is observed ever pass to the
+ * decisions ({@link ManagerModel} hands those on). Indices are -1 where there is none; times tenths of a millisecond.
+ */
+final class Work {
+    final long id;
+    final int group;
+    final int customer;
+    final int key;
+    final int tables;
+    /** First asked for, and when its client gives up for good. */
+    final long asked;
+    final long limit;
+    /** Truly needed: the time of one thread on one core at speed 1, and MB. */
+    final double work;
+    final double memoryMb;
+    /** As told. */
+    final long estimate;
+    final int memoryTold;
+    int tries;
+    boolean done;
+
+    Work(long id, int group, int customer, int key, int tables, long asked, long limit, double work, double memoryMb,
+         long estimate, int memoryTold) {
+        this.id = id;
+        this.group = group;
+        this.customer = customer;
+        this.key = key;
+        this.tables = tables;
+        this.asked = asked;
+        this.limit = limit;
+        this.work = work;
+        this.memoryMb = memoryMb;
+        this.estimate = estimate;
+        this.memoryTold = memoryTold;
+    }
+}
--- /dev/null
+++ b/src/test/java/firstage/fleet/FleetRunTest.java
@@ -0,0 +1,112 @@
+package firstage.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Fleets of seconds: the same bytes for the same seed, choices told apart or not, rules watched, files refused. */
+class FleetRunTest {
+    private static String shop() {
+        try {
+            return Files.readString(Path.of("deploy", "fleet", "shop.toml")).replace("length = \"60 s\"", "length = \"20 s\"")
+                    .replace("at = \"15 s\"", "at = \"4 s\"").replace("at = \"35 s\"", "at = \"10 s\"");
+        } catch (IOException fault) {
+            throw new IllegalStateException(fault);
+        }
+    }
+
+    private static List<FleetResult> play(String file, String choice, int runs, int from) {
+        FleetPlan plan = FleetFile.read(file);
+        return IntStream.range(0, runs).parallel()
+                .mapToObj(i -> FleetRun.play(plan, Choice.of(choice), from + i)).toList();
+    }
+
+    @Test
+    void theSameSeedGivesTheSameResult() {
+        assertThat(play(shop(), "brain", 3, 1)).isEqualTo(play(shop(), "brain", 3, 1));
+        assertThat(play(shop(), "brain", 2, 1).get(0).figures()).isNotEqualTo(play(shop(), "brain", 2, 1).get(1).figures());
+    }
+
+    @Test
+    void theRealDecisionsKeepTheRulesThroughCrashesAndRestarts() {
+        assertThat(play(shop(), "brain", 8, 1)).allSatisfy(r -> assertThat(r.broken()).isEmpty());
+    }
+
+    @Test
+    void aPolicyThatPushesColdEnginesOverHasNoVerdict() {
+        Comparison c = new Comparison(play(shop(), "brain", 4, 1), play(shop(), "two-choices", 4, 1));
+        assertThat(c.verdict()).isEqualTo(Comparison.Verdict.BROKEN);
+        assertThat(c.broken()).anySatisfy(what -> assertThat(what).contains("two-choices", "rule 4", "pushed over"));
+    }
+
+    /** The same choice on other seeds, paired as if it were another: told apart in no more than one of twenty. */
+    @Test
+    void aChoiceIsNotToldFromItself() {
+        List<FleetResult> all = play(shop(), "brain", 80, 100);
+        int told = 0;
+        for (int i = 0; i < 10; i++) {
+            List<FleetResult> left = all.subList(8 * i, 8 * i + 4);
+            List<FleetResult> right = new ArrayList<>();
+            for (int k = 0; k < 4; k++) {
+                FleetResult r = all.get(8 * i + 4 + k);
+                right.add(new FleetResult(r.choice(), left.get(k).seed(), r.figures(), r.broken(), r.batches(), 0));
+            }
+            told += new Comparison(left, right).verdict() == Comparison.Verdict.NONE ? 0 : 1;
+        }
+        assertThat(told).isLessThanOrEqualTo(1);
+    }
+
+    @Test
+    void boundsFourTimesTooWideUnderOverloadAreFoundOut() {
+        String overload = shop().replace("rate = 57.0", "rate = 90.0").replaceAll("(?s)\\[\\[trouble\\]\\].*", "");
+        Comparison c = new Comparison(play(overload, "brain", 8, 1), play(overload, "brain:bounds=4", 8, 1));
+        assertThat(c.verdict()).isEqualTo(Comparison.Verdict.LEFT);
+    }
+
+    @Test
+    void aMassRestartOfTwoHundredManagersBesideColdEnginesPushesNoneOver() {
+        String mass = shop().replace("count = 3\n", "count = 200\n").replace("count = 7\n", "count = 40\n")
+                .replace("rate = 57.0", "rate = 300.0").replace("length = \"20 s\"", "length = \"12 s\"")
+                .replaceAll("(?s)\\[\\[trouble\\]\\].*", "") + """
+                [[trouble]]
+                kind = "restart"
+                at = "3 s"
+                length = "1 s"
+
+                [[trouble]]
+                kind = "cold"
+                at = "3 s"
+                part = "50%"
+                """;
+        FleetResult result = play(mass, "brain", 1, 1).get(0);
+        assertThat(result.broken()).isEmpty();
+        assertThat(result.batches()).isGreaterThan(3_000);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "memory = \"16 GB\" | memory = \"16\" | 13: engines.memory: '16' has no unit",
+        "part = \"15%\" | parts = \"15%\" | trouble 1.parts: is unknown; known here: kind, at",
+        "count = 7 | count = 0 | engines.count: 0 is impossible; 1 to 10000 would do",
+        "effect = \"once-only\" | effect = \"never\" | group 3.effect: 'never' is none of repeatable",
+        "length = \"60 s\" | length = \"60 parsecs\" | 3: length: '60 parsecs' has an unknown unit",
+        "rate = 57.0 | rate = \"many\" | traffic.rate: many is no number",
+        "kind = \"crash\" | kind = \"quake\" | trouble 1.kind: 'quake' is none of crash",
+        "share = \"79%\" | share = \"179%\" | group 1.share: 1.79 is impossible",
+    })
+    void whatCannotBeUsedIsToldWithLineAndCure(String good, String bad, String told) throws IOException {
+        String text = Files.readString(Path.of("deploy", "fleet", "shop.toml"));
+        assertThat(text).contains(good);
+        assertThatThrownBy(() -> FleetFile.read(text.replace(good, bad))).isInstanceOf(FleetFault.class)
+                .hasMessageContaining(told).hasMessageMatching("[0-9]+: .*");
+    }
+}
