--- a/src/main/java/firstage/app/Fleet.java
+++ b/src/main/java/firstage/app/Fleet.java
@@ -23,7 +23,8 @@
 /** {@code fleet}: plays a modelled fleet, and compares two choices on it. */
 @Command(name = "fleet", mixinStandardHelpOptions = true, subcommands = {Fleet.Run.class, Fleet.Compare.class},
         description = "Plays a modelled fleet in virtual time; docs/operators/fleet.md says how to read it.",
-        exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:done, or no verdict", "2:a file or a choice can't be used",
+        exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:done, or no verdict",
+                "2:a file or a choice can't be used",
             "3:a rule broke", "10:the left choice is better", "11:the right choice is better"})
 final class Fleet implements Callable<Integer> {
     private static final int FAULT = 2;
--- a/src/main/java/firstage/app/FleetTables.java
+++ b/src/main/java/firstage/app/FleetTables.java
@@ -123,7 +123,9 @@
             List<Double> bars = new ArrayList<>();
             for (String name : shares) {
                 SummaryStatistics all = new SummaryStatistics();
-                results.stream().filter(r -> r.choice().equals(choice)).forEach(r -> all.addValue(r.figures().get(name)));
+                results.stream().filter(r -> r.choice().equals(choice)).forEach(r -> all.addValue(r.figures().get(name))
+                        )
+                        ;
                 means.add(all.getMean());
                 bars.add(all.getN() > 1 ? all.getStandardDeviation() : 0);
             }
--- a/src/main/java/firstage/fleet/Calendar.java
+++ b/src/main/java/firstage/fleet/Calendar.java
@@ -3,7 +3,8 @@
 /**
  * Virtual time in tenths of a millisecond: what is due first happens first; of two due at once, the one set first.
  *
- * <p>A wheel of three levels of 1,024 slots (a slot of the first is one tenth, of the second a tenth of a second, of the
+ * <p>A wheel of three levels of 1,024 slots (a slot of the first is one tenth, of the second a tenth of a second,
+ * of the
  * third 105 s), with a bit for each slot that is filled, so that setting costs the same however much is set, and empty
  * time costs next to nothing. A fleet sets mostly what is due within a few seconds, and most of that happens: there a
  * heap pays the logarithm twice. What is due beyond 30 hours waits in a list.
--- a/src/main/java/firstage/fleet/Choice.java
+++ b/src/main/java/firstage/fleet/Choice.java
@@ -8,7 +8,8 @@
 import java.util.Locale;
 
 /**
- * What decides in a run: the real decisions, or a textbook policy. {@code bounds} tells the decisions that each engine has
+ * What decides in a run: the real decisions, or a textbook policy. {@code bounds} tells the decisions that each
+ * engine has
  * so many times its cores and memory, which opens their bounds as a wrong setting would.
  */
 public record Choice(String name, PlainPolicy.Kind plain, double bounds) {
--- a/src/main/java/firstage/fleet/FleetDeployment.java
+++ b/src/main/java/firstage/fleet/FleetDeployment.java
@@ -17,7 +17,8 @@
     static Deployment of(FleetPlan plan, int rank, long seed, double bounds) {
         List<ServiceGroup> groups = new ArrayList<>();
         for (FleetPlan.Group g : plan.groups()) {
-            groups.add(new ServiceGroup(g.goal(), g.stretch(), g.limit(), g.utility(), g.lateValue(), g.effect(), g.scope(),
+            groups.add(new ServiceGroup(g.goal(), g.stretch(), g.limit(), g.utility(), g.lateValue(), g.effect(),
+                    g.scope(),
                     g.window(), g.ordered(), g.threads(), g.load(), g.yields(), Set.of(), Set.of()));
         }
         FleetPlan.Engines e = plan.engines();
--- a/src/main/java/firstage/fleet/FleetFile.java
+++ b/src/main/java/firstage/fleet/FleetFile.java
@@ -18,7 +18,8 @@
 import org.tomlj.TomlTable;
 
 /**
- * Reads a fleet file: TOML, every figure that has a unit with its unit. What can't be used is told with its line and what
+ * Reads a fleet file: TOML, every figure that has a unit with its unit. What can't be used is told with its line
+ * and what
  * would do; nothing is guessed, and no key is skipped.
  */
 public final class FleetFile {
@@ -37,7 +38,8 @@
             throw new FleetFault(error.position().line(), firstLine(error.getMessage()));
         }
         Section top = new Section(toml, "", 1);
-        FleetPlan plan = new FleetPlan(top.text("name", "fleet"), top.time("length", null), managers(top.table("managers")),
+        FleetPlan plan = new FleetPlan(top.text("name", "fleet"), top.time("length", null),
+                managers(top.table("managers")),
                 engines(top.table("engines")), net(top.table("net")), clients(top.table("clients")),
                 rules(top.table("rules")), goal(top.table("goal")), groups(top.tables("group")),
                 customers(top.tables("customer")), traffic(top.table("traffic")), troubles(top));
@@ -109,7 +111,8 @@
         for (Section s : all) {
             groups.add(new FleetPlan.Group(s.text("name", null), s.share("share", null), s.time("work", null),
                     s.figure("spread", 0, 5, 0.8), s.share("io", 0.3), s.whole("threads", 1, 256, 1),
-                    s.size("memory", null), s.time("goal", null), s.figure("stretch", 0, 100, 0.0), s.time("limit", null),
+                    s.size("memory", null), s.time("goal", null), s.figure("stretch", 0, 100, 0.0), s.time("limit",
+                            null),
                     s.figure("utility", 0, 1e6, 1.0), s.share("late_value", 0.0),
                     effect(s.oneOf("effect", null, List.of("repeatable", "referenced", "once-only"))),
                     Scope.valueOf(s.oneOf("scope", "all", List.of("all", "zone", "cell")).toUpperCase(Locale.ROOT)),
@@ -119,7 +122,8 @@
             s.done();
         }
         if (groups.isEmpty()) {
-            throw new FleetFault(0, "no service group; write [[group]] with name, share, work, memory, goal, limit, effect");
+            throw new FleetFault(0,
+                    "no service group; write [[group]] with name, share, work, memory, goal, limit, effect");
         }
         return groups;
     }
@@ -168,7 +172,8 @@
             known.add(key);
             Object value = table == null ? null : table.get(List.of(key));
             if (value == null && absent == null) {
-                throw new FleetFault(line, (path.isEmpty() ? "" : path + " ") + "has no " + key + "; write " + key + " = "
+                throw new FleetFault(line, (path.isEmpty() ? "" : path + " ") + "has no " + key + "; write " + key
+                        + " = "
                         + unit);
             }
             return value == null ? absent : value;
--- a/src/main/java/firstage/fleet/FleetPlan.java
+++ b/src/main/java/firstage/fleet/FleetPlan.java
@@ -5,7 +5,8 @@
 import java.util.List;
 
 /** What a fleet file sets. Times are tenths of a millisecond, memory MB, work the time of one thread on one core. */
-public record FleetPlan(String name, long length, Managers managers, Engines engines, Net net, Clients clients, Rules rules,
+public record FleetPlan(String name, long length, Managers managers, Engines engines, Net net, Clients clients,
+        Rules rules,
                         Goal goal, List<Group> groups, List<Customer> customers, Traffic traffic,
                         List<Trouble> troubles) {
 
--- a/src/main/java/firstage/fleet/ManagerModel.java
+++ b/src/main/java/firstage/fleet/ManagerModel.java
@@ -1,7 +1,6 @@
 package firstage.fleet;
 
 import firstage.door.Arrival;
-import firstage.door.Deployment;
 import firstage.door.Ending;
 import firstage.door.EngineList;
 import firstage.door.EngineList.Standing;
@@ -21,7 +20,8 @@
 import java.util.random.RandomGenerator;
 
 /**
- * One manager of the fleet: the decisions behind their door, and what carries them in virtual time. It hands the decisions
+ * One manager of the fleet: the decisions behind their door, and what carries them in virtual time. It hands the
+ * decisions
  * estimates and what is observed, never what a batch truly costs.
  */
 final class ManagerModel implements Host {
--- a/src/main/java/firstage/fleet/PlainPolicy.java
+++ b/src/main/java/firstage/fleet/PlainPolicy.java
@@ -20,7 +20,8 @@
 import java.util.random.RandomGeneratorFactory;
 
 /**
- * Textbook policies behind the same door, as baselines: each batch goes at once to an engine that is up, batches of a key
+ * Textbook policies behind the same door, as baselines: each batch goes at once to an engine that is up, batches
+ * of a key
  * one at a time. None sends anything again, holds grants or watches health.
  */
 final class PlainPolicy implements WorkloadManager {
--- a/src/main/java/firstage/fleet/RuleWatch.java
+++ b/src/main/java/firstage/fleet/RuleWatch.java
@@ -93,7 +93,8 @@
         }
         Long drain = drains.get(t.manager).get(engine);
         if (drain != null && now > drain + plan.rules().drainGrace()) {
-            breaks(now, 3, t, "sent to engine " + engine + ", whose drain was told " + (now - drain) / 10 + " ms before");
+            breaks(now, 3, t, "sent to engine " + engine + ", whose drain was told " + (now - drain) / 10
+                    + " ms before");
         }
         t.out++;
         t.firstRan = t.firstRan < 0 ? now : t.firstRan;
--- a/src/main/java/firstage/fleet/Scoreboard.java
+++ b/src/main/java/firstage/fleet/Scoreboard.java
@@ -8,7 +8,8 @@
 
 /**
  * Service as the brief counts it: the utility answered within each response goal over the utility asked for, a client's
- * retries with its first try, a late answer at its group's late value; over the whole run, its worst 10 s, the worst-served
+ * retries with its first try, a late answer at its group's late value; over the whole run, its worst 10 s, the
+ * worst-served
  * group and customer, and all of them by the goal's weights.
  */
 final class Scoreboard {
--- a/src/main/java/firstage/fleet/Work.java
+++ b/src/main/java/firstage/fleet/Work.java
@@ -1,7 +1,8 @@
 package firstage.fleet;
 
 /**
- * A batch as it truly is: what its client wants, and what it costs. Only estimates and what is observed ever pass to the
+ * A batch as it truly is: what its client wants, and what it costs. Only estimates and what is observed ever pass
+ * to the
  * decisions ({@link ManagerModel} hands those on). Indices are -1 where there is none; times tenths of a millisecond.
  */
 final class Work {
--- a/src/main/java/firstage/net/clients/Callers.java
+++ b/src/main/java/firstage/net/clients/Callers.java
@@ -2,15 +2,17 @@
 
 import firstage.net.Counters;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.xnio.ChannelListener;
+import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.XnioIoThread;
+import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
  * The clients' open connections: never more than their part of the descriptors. With none left XNIO stops accepting
@@ -93,14 +95,25 @@
         idle.remove(c);
     }
 
+    /**
+     * Closes the one that was silent longest. It is asked first: what it wrote while the thread was busy accepting
+     * others
+     * is a call that is ours, and must not end without an answer.
+     */
     private boolean makeRoom() {
-        Iterator<StreamConnection> oldest = (mute.isEmpty() ? idle : mute).keySet().iterator();
-        if (!oldest.hasNext()) {
-            return false;
+        for (StreamConnection c : List.copyOf((mute.isEmpty() ? idle : mute).keySet())) {
+            ConduitStreamSourceChannel source = c.getSourceChannel();
+            ChannelListeners.invokeChannelListener(source, source.getReadListener());
+            if (mute.containsKey(c) || idle.containsKey(c)) {
+                counters.count("client connections closed for others");
+                end(c);
+                return true;
+            }
+            if (all.size() < most) {
+                return true;
+            }
         }
-        counters.count("client connections closed for others");
-        end(oldest.next());
-        return true;
+        return false;
     }
 
     private void end(StreamConnection c) {
--- a/src/test/java/firstage/ArrowsTest.java
+++ b/src/test/java/firstage/ArrowsTest.java
@@ -10,21 +10,24 @@
 /** What decides knows no socket, file, thread or clock; what serves loads no tool. */
 @AnalyzeClasses(packages = "firstage", importOptions = ImportOption.DoNotIncludeTests.class)
 class ArrowsTest {
-    private static final String[] FREE = {"firstage", "firstage.door", "firstage.state", "firstage.life", "firstage.fleet"};
+    private static final String[] FREE = {"firstage", "firstage.door", "firstage.state", "firstage.life",
+            "firstage.fleet"};
 
     @ArchTest
-    static final ArchRule WITHOUT_IO = noClasses().that().resideInAnyPackage(FREE).should().dependOnClassesThat()
-            .resideInAnyPackage("java.net..", "java.nio..", "java.io..", "java.util.concurrent..", "java.util.logging..",
+    final ArchRule WITHOUT_IO = noClasses().that().resideInAnyPackage(FREE).should().dependOnClassesThat()
+            .resideInAnyPackage("java.net..", "java.nio..", "java.io..", "java.util.concurrent..",
+                    "java.util.logging..",
                     "org.xnio..", "io.undertow..", "firstage.net..", "firstage.app..", "java.time..");
 
     @ArchTest
-    static final ArchRule WITHOUT_CLOCK = noClasses().that().resideInAnyPackage(FREE).should()
+    final ArchRule WITHOUT_CLOCK = noClasses().that().resideInAnyPackage(FREE).should()
             .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
             .orShould().dependOnClassesThat().areAssignableTo(Thread.class);
 
     @ArchTest
-    static final ArchRule SERVES_ALONE = noClasses().that().resideInAnyPackage("firstage", "firstage.door..",
-            "firstage.state..", "firstage.setup..", "firstage.life..", "firstage.net..", "firstage.benchlink..", "org.xnio..")
+    final ArchRule SERVES_ALONE = noClasses().that().resideInAnyPackage("firstage", "firstage.door..",
+            "firstage.state..", "firstage.setup..", "firstage.life..", "firstage.net..", "firstage.benchlink..",
+                    "org.xnio..")
             .should().dependOnClassesThat().resideInAnyPackage("firstage.fleet..", "firstage.lab..", "picocli..",
                     "org.knowm..", "org.tomlj..", "org.apache.commons.math3..", "org.HdrHistogram..");
 }
--- a/src/test/java/firstage/fleet/FleetRunTest.java
+++ b/src/test/java/firstage/fleet/FleetRunTest.java
@@ -17,7 +17,8 @@
 class FleetRunTest {
     private static String shop() {
         try {
-            return Files.readString(Path.of("deploy", "fleet", "shop.toml")).replace("length = \"60 s\"", "length = \"20 s\"")
+            return Files.readString(Path.of("deploy", "fleet", "shop.toml")).replace("length = \"60 s\"",
+                    "length = \"20 s\"")
                     .replace("at = \"15 s\"", "at = \"4 s\"").replace("at = \"35 s\"", "at = \"10 s\"");
         } catch (IOException fault) {
             throw new IllegalStateException(fault);
@@ -33,7 +34,8 @@
     @Test
     void theSameSeedGivesTheSameResult() {
         assertThat(play(shop(), "brain", 3, 1)).isEqualTo(play(shop(), "brain", 3, 1));
-        assertThat(play(shop(), "brain", 2, 1).get(0).figures()).isNotEqualTo(play(shop(), "brain", 2, 1).get(1).figures());
+        assertThat(play(shop(), "brain", 2, 1).get(0).figures()).isNotEqualTo(play(shop(), "brain", 2,
+                1).get(1).figures());
     }
 
     @Test
