--- a/src/main/java/firstage/fleet/ManagerModel.java
+++ b/src/main/java/firstage/fleet/ManagerModel.java
@@ -64,8 +64,8 @@
             this.b = b;
             this.engine = engine;
             this.number = number;
-            job = new Job(b.is.is, plan.groups().get(b.is.is.group), this, ManagerModel.this.number, number, b.grant > 0 ? b.grant
-                    : b.is.is.memoryTold * 1.25, b.priority);
+            job = new Job(b.is.is, plan.groups().get(b.is.is.group), this, ManagerModel.this.number, number,
+                    b.grant > 0 ? b.grant : b.is.is.memoryTold * 1.25, b.priority);
         }
 
         @Override
