--- a/src/main/java/firstage/net/Node.java
+++ b/src/main/java/firstage/net/Node.java
@@ -78,7 +78,7 @@
         io = worker.getIoThread();
         barrier = new Barrier(io, counters);
         engines = new Engines(io, clock, counters, this, assignment);
-        door = new ClientDoor(io, clock, counters, this, assignment, barrier::whenRead);
+        door = new ClientDoor(io, clock, counters, this, assignment);
         follower = new Follower(io, clock, counters, this, assignment);
         manager = new Brain(assignment.deployment(), this);
     }
--- a/src/main/java/firstage/net/clients/Callers.java
+++ b/src/main/java/firstage/net/clients/Callers.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
@@ -28,16 +27,13 @@
     private final XnioIoThread io;
     private final Counters counters;
     private final int most;
-    private final Consumer<Runnable> barrier;
     /** Each with when it was opened, in ms. */
     private final Map<StreamConnection, Long> all = new HashMap<>();
     /** Since when, in ms: those that never made a whole call, and those between calls; oldest first. */
     private final Map<StreamConnection, Long> mute = new LinkedHashMap<>();
     private final Map<StreamConnection, Long> idle = new LinkedHashMap<>();
 
-    /** {@code barrier} runs what it is given once all that has come until then is read. */
-    Callers(XnioIoThread io, Counters counters, int most, Consumer<Runnable> barrier) {
-        this.barrier = barrier;
+    Callers(XnioIoThread io, Counters counters, int most) {
         this.io = io;
         this.counters = counters;
         this.most = most;
@@ -95,16 +91,11 @@
         idle.remove(c);
     }
 
-    /**
-     * Closes the one that was silent longest. It is asked first: what it wrote while the thread was busy accepting
-     * others
-     * is a call that is ours, and must not end without an answer.
-     */
+    /** Closes the one that was silent longest. */
     private boolean makeRoom() {
-        for (StreamConnection c : List.copyOf((mute.isEmpty() ? idle : mute).keySet())) {
-            ConduitStreamSourceChannel source = c.getSourceChannel();
-            ChannelListeners.invokeChannelListener(source, source.getReadListener());
-            if (mute.containsKey(c) || idle.containsKey(c)) {
+        Map<StreamConnection, Long> silent = mute.isEmpty() ? idle : mute;
+        for (StreamConnection c : List.copyOf(silent.keySet())) {
+            if (saysNothing(c, silent)) {
                 counters.count("client connections closed for others");
                 end(c);
                 return true;
@@ -116,37 +107,40 @@
         return false;
     }
 
+    /**
+     * It is asked before it is closed: timers and new connections may come before what it wrote while the thread stood
+     * still, and that is a call that is ours and must not end without an answer.
+     */
+    private static boolean saysNothing(StreamConnection c, Map<StreamConnection, Long> silent) {
+        Long since = silent.get(c);
+        ConduitStreamSourceChannel source = c.getSourceChannel();
+        ChannelListeners.invokeChannelListener(source, source.getReadListener());
+        return since != null && since.equals(silent.get(c));
+    }
+
     private void end(StreamConnection c) {
         closed(c);
         IoUtils.safeClose(c);
     }
 
-    /**
-     * Closes what was silent for too long; comes back by itself. Silent is what said nothing once all that had come was
-     * read: after a stall, timers are due before the calls that came meanwhile are seen.
-     */
+    /** Closes what was silent for too long; comes back by itself. */
     void sweep() {
-        if (silent(mute, MOST_MUTE_MS) || silent(idle, MOST_IDLE_MS)) {
-            barrier.accept(() -> {
-                sweep(mute, MOST_MUTE_MS, "mute client connections closed");
-                sweep(idle, MOST_IDLE_MS, "idle client connections closed");
-            });
-        }
+        sweep(mute, MOST_MUTE_MS, "mute client connections closed");
+        sweep(idle, MOST_IDLE_MS, "idle client connections closed");
         io.executeAfter(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
-    private static boolean silent(Map<StreamConnection, Long> silent, long atMost) {
-        return !silent.isEmpty() && now() - silent.values().iterator().next() > atMost;
-    }
-
     private void sweep(Map<StreamConnection, Long> silent, long atMost, String what) {
         while (!silent.isEmpty()) {
             Map.Entry<StreamConnection, Long> oldest = silent.entrySet().iterator().next();
             if (now() - oldest.getValue() <= atMost) {
                 return;
             }
-            counters.count(what);
-            end(oldest.getKey());
+            StreamConnection c = oldest.getKey();
+            if (saysNothing(c, silent)) {
+                counters.count(what);
+                end(c);
+            }
         }
     }
 
--- a/src/main/java/firstage/net/clients/ClientDoor.java
+++ b/src/main/java/firstage/net/clients/ClientDoor.java
@@ -34,7 +34,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.regex.Pattern;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -104,8 +103,7 @@
     private long closingSince;
     private boolean closing;
 
-    public ClientDoor(XnioIoThread io, Clock clock, Counters counters, Tidings tidings, Assignment assignment,
-                      Consumer<Runnable> barrier) {
+    public ClientDoor(XnioIoThread io, Clock clock, Counters counters, Tidings tidings, Assignment assignment) {
         this.io = io;
         this.clock = clock;
         this.counters = counters;
@@ -113,7 +111,7 @@
         this.address = assignment.listen();
         mostConnections = assignment.clientConnections();
         mostBytes = assignment.clientBytes();
-        callers = new Callers(io, counters, mostConnections, barrier);
+        callers = new Callers(io, counters, mostConnections);
         Fields settings = assignment.settings();
         for (int i = 0; i < settings.index("classes.count", 0); i++) {
             groups.add(settings.text("classes." + i + ".name", ""));
