One calendar, one test of what is better, no dead parts; hostile refuses to play none

Cause: read over once more. The rig kept a second calendar beside the fleet's wheel; which figures are better the higher was asked by name in two ways (a group named 'batch' fell out of the chart); report_delay was read from fleet files and heeded by nothing; fields, parameters and methods that nobody used; empty effects written out in each modelled host; a run of no schedules said 'all kept'.

Change: lab plays on firstage.fleet.Calendar; Comparison.moreIsBetter serves both; Host leaves out peers and list calls by default; a class for what waits in LabThread; one reading of an engine's status in Run; one note of lateness in Node; report_delay is no key any more; hostile wants 1 or more.

--- a/src/main/java/firstage/app/FleetTables.java
+++ b/src/main/java/firstage/app/FleetTables.java
@@ -117,7 +117,7 @@
                 .yAxisTitle("share of utility").build();
         chart.getStyler().setYAxisMin(0.0).setYAxisMax(1.0).setXAxisLabelRotation(30);
         List<String> shares = results.get(0).figures().keySet().stream()
-                .filter(name -> !name.contains(" ms ") && !name.contains("batch") && !name.startsWith("late")).toList();
+                .filter(Comparison::moreIsBetter).toList();
         for (String choice : results.stream().map(FleetResult::choice).distinct().toList()) {
             List<Double> means = new ArrayList<>();
             List<Double> bars = new ArrayList<>();
--- a/src/main/java/firstage/app/Hostile.java
+++ b/src/main/java/firstage/app/Hostile.java
@@ -17,6 +17,9 @@
     static int run(List<String> args) {
         long from = whole(args.get(0));
         long count = whole(args.get(1));
+        if (count < 1) {
+            throw new IllegalArgumentException(count + " schedules prove nothing; 1 or more would do");
+        }
         Fault fault = args.size() > 2 ? fault(args.get(2)) : Fault.NONE;
         long start = System.nanoTime();
         Map<Long, List<String>> broken = HostileSchedules.play(from, count, fault, SHOWN);
--- a/src/main/java/firstage/door/Host.java
+++ b/src/main/java/firstage/door/Host.java
@@ -25,9 +25,13 @@
 
     void probe(int engine);
 
-    void tellPeers(byte[] words);
+    /** A host whose managers do not talk to each other leaves it. */
+    default void tellPeers(byte[] words) {
+    }
 
-    void subscribe();
+    /** A host whose list comes unasked leaves it. */
+    default void subscribe() {
+    }
 
     void wakeIn(long delay, long token);
 
--- a/src/main/java/firstage/fleet/Calendar.java
+++ b/src/main/java/firstage/fleet/Calendar.java
@@ -1,5 +1,9 @@
 package firstage.fleet;
 
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
 /**
  * Virtual time in tenths of a millisecond: what is due first happens first; of two due at once, the one set first.
  *
@@ -180,7 +184,7 @@
         }
     }
 
-    /** What fell into one slot from two levels stands in two runs: by order again, by merging runs. */
+    /** What fell into one slot from two levels may stand out of order. */
     private static Entry sorted(Entry all) {
         boolean inOrder = true;
         for (Entry e = all; e.next != null; e = e.next) {
@@ -189,11 +193,11 @@
         if (inOrder) {
             return all;
         }
-        java.util.List<Entry> list = new java.util.ArrayList<>();
+        List<Entry> list = new ArrayList<>();
         for (Entry e = all; e != null; e = e.next) {
             list.add(e);
         }
-        list.sort(java.util.Comparator.comparingLong(e -> e.order));
+        list.sort(Comparator.comparingLong(e -> e.order));
         for (int i = 0; i < list.size(); i++) {
             list.get(i).next = i + 1 < list.size() ? list.get(i + 1) : null;
         }
--- a/src/main/java/firstage/fleet/Comparison.java
+++ b/src/main/java/firstage/fleet/Comparison.java
@@ -72,7 +72,8 @@
                 told ? runs : (int) Math.min(MOST_RUNS, Math.max(runs + 1, Math.ceil(needed))));
     }
 
-    private static boolean moreIsBetter(String name) {
+    /** Shares of utility, of which more is better; of latencies, pushbacks, errors and late answers less is. */
+    public static boolean moreIsBetter(String name) {
         return !name.contains(" ms ") && !name.startsWith("pushed back") && !name.startsWith("errored")
                 && !name.startsWith("late");
     }
--- a/src/main/java/firstage/fleet/EngineModel.java
+++ b/src/main/java/firstage/fleet/EngineModel.java
@@ -35,7 +35,6 @@
         final Work is;
         final FleetPlan.Group group;
         final Listener listener;
-        final int dispatch;
         final int manager;
         final double grant;
         int priority;
@@ -44,14 +43,12 @@
         private double rate;
         private boolean inLine;
         private boolean over;
-        private long since;
 
-        Job(Work is, FleetPlan.Group group, Listener listener, int manager, int dispatch, double grant, int priority) {
+        Job(Work is, FleetPlan.Group group, Listener listener, int manager, double grant, int priority) {
             this.is = is;
             this.manager = manager;
             this.group = group;
             this.listener = listener;
-            this.dispatch = dispatch;
             this.grant = grant;
             this.priority = priority;
         }
@@ -109,19 +106,15 @@
         return startedAt;
     }
 
-    /** Queries that wait for memory, and all that are here. */
+    /** Queries that wait for memory. */
     int waiting() {
         return line.size();
     }
 
-    int active() {
+    private int active() {
         return running.size() + line.size();
     }
 
-    double memoryShare() {
-        return reserved / kind.memoryMb();
-    }
-
     void slower(double times) {
         advance();
         slower = times;
@@ -191,7 +184,6 @@
             return;
         }
         rules.runs(job.is, calendar.now());
-        job.since = calendar.now();
         advance();
         if (kind.grants() && reserved + job.grant > kind.memoryMb()) {
             job.inLine = true;
@@ -285,7 +277,7 @@
         }
         double over = Math.max(0, threads / (kind.cores() * knee) - 1);
         double left = kind.cores() * speed * cold() / slower / (1 + thrash * over);
-        left = share(left, weights);
+        share(left, weights);
         double disks = kind.disks() * kind.cores() * cold();
         double reading = 0;
         for (Job job : running) {
@@ -311,7 +303,7 @@
     }
 
     /** By weight, each no more than its threads; what is left over goes round once more. */
-    private double share(double capacity, double weights) {
+    private void share(double capacity, double weights) {
         double left = capacity;
         for (int round = 0; round < 2 && left > 1e-9 && weights > 0; round++) {
             double given = 0;
@@ -328,7 +320,6 @@
             left -= given;
             weights = open;
         }
-        return left;
     }
 
     private double weight(Job job) {
--- a/src/main/java/firstage/fleet/FleetFile.java
+++ b/src/main/java/firstage/fleet/FleetFile.java
@@ -66,7 +66,7 @@
                 s.figures("spill", 0, 100, "1.5 to 3"), s.whole("sessions", 1, 10_000, 64),
                 s.whole("warm_tables", 0, 1_000, 4), s.share("warm_gain", 0.5), s.share("cold_from", 0.3),
                 s.times("warm_after", "13 s"), s.flag("grants", true), s.flag("priorities", true),
-                s.time("notes", "500 ms"), s.share("errs", 0.0), s.times("report_delay", "200 ms"));
+                s.time("notes", "500 ms"), s.share("errs", 0.0));
         s.done();
         return e;
     }
--- a/src/main/java/firstage/fleet/FleetPlan.java
+++ b/src/main/java/firstage/fleet/FleetPlan.java
@@ -22,7 +22,7 @@
      */
     public record Engines(int count, int cores, double memoryMb, Range speed, Range knee, Range thrash, double disks,
                           Range spill, int sessions, int warmGroups, double warmGain, double coldFrom, Range warmAfter,
-                          boolean grants, boolean priorities, long notePace, double errs, Range reportDelay) {
+                          boolean grants, boolean priorities, long notePace, double errs) {
     }
 
     /** One way, and the spread of it. */
--- a/src/main/java/firstage/fleet/FleetRun.java
+++ b/src/main/java/firstage/fleet/FleetRun.java
@@ -32,6 +32,8 @@
     private final List<EngineModel> engines = new ArrayList<>();
     private final List<ManagerModel> managers = new ArrayList<>();
     private final double[] managerEnds;
+    /** By engine, how often the list changed its word on it. */
+    private final int[] versions;
     private final List<Trouble> dear = new ArrayList<>();
     private double boost = 1;
 
@@ -45,6 +47,7 @@
         for (int e = 0; e < plan.engines().count(); e++) {
             engines.add(new EngineModel(e, plan, calendar, streams, rules));
         }
+        versions = new int[engines.size()];
         int count = plan.managers().count();
         managerEnds = new double[count];
         double sum = 0;
@@ -199,25 +202,16 @@
 
     /** Each manager hears it when its own list comes round. */
     private void tell(int e, Standing standing, long since, int later, RandomGenerator chance) {
-        int[] said = {version(e)};
+        int said = ++versions[e];
         for (ManagerModel m : managers) {
             calendar.in(later * plan.managers().listDelay().drawTime(chance), () -> {
-                if (versions[e] == said[0] || later == 1) {
+                if (versions[e] == said || later == 1) {
                     m.listed(e, standing, since);
                 }
             });
         }
     }
 
-    private int[] versions = new int[0];
-
-    private int version(int e) {
-        if (versions.length == 0) {
-            versions = new int[engines.size()];
-        }
-        return ++versions[e];
-    }
-
     private void release(Trouble t, RandomGenerator chance) {
         List<Integer> all = struck(engines.size(), t.part(), chance);
         int each = (int) Math.max(1, Math.round(engines.size() * t.extra()));
--- a/src/main/java/firstage/fleet/ManagerModel.java
+++ b/src/main/java/firstage/fleet/ManagerModel.java
@@ -64,7 +64,7 @@
             this.b = b;
             this.engine = engine;
             this.number = number;
-            job = new Job(b.is.is, plan.groups().get(b.is.is.group), this, ManagerModel.this.number, number,
+            job = new Job(b.is.is, plan.groups().get(b.is.is.group), this, ManagerModel.this.number,
                     b.grant > 0 ? b.grant : b.is.is.memoryTold * 1.25, b.priority);
         }
 
@@ -329,16 +329,6 @@
         });
     }
 
-    @Override
-    public void tellPeers(byte[] words) {
-        // Managers of this fleet do not talk to each other.
-    }
-
-    @Override
-    public void subscribe() {
-        // The list comes unasked.
-    }
-
     @Override
     public void wakeIn(long delay, long token) {
         int mine = life;
--- a/src/main/java/firstage/fleet/RuleWatch.java
+++ b/src/main/java/firstage/fleet/RuleWatch.java
@@ -24,7 +24,7 @@
         final int manager;
         final long notAfter;
         private int answers;
-        private boolean void_;
+        private boolean nobodys;
         private int out;
         private boolean mayHaveRun;
         private long firstRan = -1;
@@ -86,7 +86,7 @@
 
     /** What it held is no duty of anybody's. */
     void killed(int manager, Iterable<Try> held) {
-        held.forEach(t -> t.void_ = true);
+        held.forEach(t -> t.nobodys = true);
         keys.get(manager).clear();
         drains.get(manager).clear();
     }
@@ -155,7 +155,7 @@
 
     /** Its time is over and a little more; it must have its answer. */
     void due(long now, Try t) {
-        if (t.answers == 0 && !t.void_) {
+        if (t.answers == 0 && !t.nobodys) {
             breaks(now, 1, t, "never answered");
         }
     }
--- a/src/main/java/firstage/fleet/TrafficShape.java
+++ b/src/main/java/firstage/fleet/TrafficShape.java
@@ -1,5 +1,6 @@
 package firstage.fleet;
 
+import java.util.Arrays;
 import java.util.List;
 
 /** How traffic rises and falls over a run: a factor on the mean rate, by the share of the run that is over. */
@@ -44,7 +45,7 @@
         }
     };
 
-    static final List<String> NAMES = java.util.Arrays.stream(values()).map(s -> s.word).toList();
+    static final List<String> NAMES = Arrays.stream(values()).map(s -> s.word).toList();
     private final String word;
 
     TrafficShape(String word) {
--- a/src/main/java/firstage/lab/HostileSchedule.java
+++ b/src/main/java/firstage/lab/HostileSchedule.java
@@ -2,9 +2,10 @@
 
 import firstage.door.Deployment;
 import firstage.door.EngineList;
-import firstage.door.ServiceGroup;
 import firstage.door.ServiceGroup.Effect;
 import firstage.door.ServiceGroup.Scope;
+import firstage.door.ServiceGroup;
+import firstage.fleet.Calendar;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
--- a/src/main/java/firstage/lab/LabEngine.java
+++ b/src/main/java/firstage/lab/LabEngine.java
@@ -1,5 +1,6 @@
 package firstage.lab;
 
+import firstage.fleet.Calendar;
 import firstage.life.DispatchLife.Word;
 import java.util.HashMap;
 import java.util.Map;
--- a/src/main/java/firstage/lab/LabManager.java
+++ b/src/main/java/firstage/lab/LabManager.java
@@ -7,16 +7,18 @@
 import firstage.door.EngineList;
 import firstage.door.Host;
 import firstage.door.Outcome;
+import firstage.fleet.Calendar;
 import firstage.life.CallLife;
-import firstage.life.DispatchLife;
 import firstage.life.DispatchLife.Alarm;
 import firstage.life.DispatchLife.Loss;
 import firstage.life.DispatchLife.Word;
+import firstage.life.DispatchLife;
 import firstage.life.TakingOrder;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 /** A manager as the sockets make one up: the real Brain and the real lives; connections and engines are modelled. */
@@ -38,7 +40,6 @@
         final long runs;
         boolean told;
         boolean over;
-        boolean pushedBack;
         Client client;
         int dispatches;
         final List<Sent> out = new ArrayList<>();
@@ -219,7 +220,7 @@
             held = 0;
             if (!got || fault == Fault.ANSWERED_TWICE) {
                 got = true;
-                check.answered(calendar.now(), b.batch, b.pushedBack);
+                check.answered(calendar.now(), b.batch);
             }
         }
 
@@ -288,10 +289,9 @@
                 open--;
             }
             b.over = true;
-            b.pushedBack = pushedBack;
             check.owed(calendar.now(), b.batch, pushedBack);
             if (fault == Fault.ANSWERED_TWICE) {
-                check.answered(calendar.now(), b.batch, pushedBack);
+                check.answered(calendar.now(), b.batch);
             } else {
                 b.client.life.answer();
             }
@@ -407,14 +407,6 @@
         });
     }
 
-    @Override
-    public void tellPeers(byte[] words) {
-    }
-
-    @Override
-    public void subscribe() {
-    }
-
     @Override
     public void wakeIn(long delay, long token) {
         thread(delay, () -> {
@@ -553,7 +545,7 @@
             }));
         }
 
-        private void call(long patience, boolean fresh, java.util.function.Consumer<boolean[]> reach, Lost lost) {
+        private void call(long patience, boolean fresh, Consumer<boolean[]> reach, Lost lost) {
             boolean[] answered = {false};
             boolean refuses = engine.standing() == LabEngine.Standing.DOWN
                     || fresh && engine.standing() == LabEngine.Standing.DRAINING && chance.nextBoolean();
--- a/src/main/java/firstage/lab/LabThread.java
+++ b/src/main/java/firstage/lab/LabThread.java
@@ -1,5 +1,6 @@
 package firstage.lab;
 
+import firstage.fleet.Calendar;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,6 +14,16 @@
 final class LabThread {
     private static final double STALL_BETWEEN = 0.004;
     private static final long LONGEST_STALL = 9_000;
+
+    private static final class Waiting {
+        private final Runnable then;
+        private int looks = 2;
+
+        private Waiting(Runnable then) {
+            this.then = then;
+        }
+    }
+
     private final Calendar calendar;
     private final RandomGenerator chance;
     private final RuleCheck check;
@@ -22,10 +33,9 @@
     private List<Runnable> ready = new ArrayList<>();
     private final List<Runnable> connecting = new ArrayList<>();
     private final ArrayDeque<Runnable> found = new ArrayDeque<>();
-    private final List<int[]> looksLeft = new ArrayList<>();
-    private final List<Runnable> barriers = new ArrayList<>();
-    private final List<int[]> looksLeftNext = new ArrayList<>();
-    private final List<Runnable> barriersNext = new ArrayList<>();
+    /** Barriers that the look under way counts for, and those asked for since it began. */
+    private final List<Waiting> under = new ArrayList<>();
+    private final List<Waiting> next = new ArrayList<>();
     private boolean awake;
     private boolean dead;
     private long stillUntil;
@@ -63,8 +73,7 @@
 
     /** Answered once two whole looks began after this and were read. */
     void barrier(Runnable then) {
-        barriersNext.add(then);
-        looksLeftNext.add(new int[] {2});
+        next.add(new Waiting(then));
         wake();
     }
 
@@ -96,10 +105,8 @@
         if (still(this::look)) {
             return;
         }
-        barriers.addAll(barriersNext);
-        looksLeft.addAll(looksLeftNext);
-        barriersNext.clear();
-        looksLeftNext.clear();
+        under.addAll(next);
+        next.clear();
         List<Runnable> all = ready;
         ready = new ArrayList<>();
         while (!all.isEmpty()) {
@@ -130,19 +137,14 @@
         through();
         turn.run();
         awake = false;
-        if (!ready.isEmpty() || !connecting.isEmpty() || !barriers.isEmpty() || !barriersNext.isEmpty()) {
+        if (!ready.isEmpty() || !connecting.isEmpty() || !under.isEmpty() || !next.isEmpty()) {
             wake();
         }
     }
 
     private void through() {
-        List<Runnable> over = new ArrayList<>();
-        for (int i = barriers.size() - 1; i >= 0; i--) {
-            if (--looksLeft.get(i)[0] <= 0) {
-                over.add(0, barriers.remove(i));
-                looksLeft.remove(i);
-            }
-        }
-        over.forEach(Runnable::run);
+        List<Waiting> over = under.stream().filter(w -> --w.looks == 0).toList();
+        under.removeAll(over);
+        over.forEach(w -> w.then.run());
     }
 }
--- a/src/main/java/firstage/lab/RuleCheck.java
+++ b/src/main/java/firstage/lab/RuleCheck.java
@@ -75,7 +75,7 @@
     }
 
     /** The client has its answer. */
-    public void answered(long now, int id, boolean pushedBack) {
+    public void answered(long now, int id) {
         Seen b = batches.get(id);
         b.answers++;
         if (b.answers > 1) {
--- a/src/main/java/firstage/life/KeyWatch.java
+++ b/src/main/java/firstage/life/KeyWatch.java
@@ -69,9 +69,4 @@
             }
         }
     }
-
-    /** Keys that are watched. */
-    public int size() {
-        return lines.size();
-    }
 }
--- a/src/main/java/firstage/net/Node.java
+++ b/src/main/java/firstage/net/Node.java
@@ -168,15 +168,21 @@
         watch.sweep(clock.now());
         endIfIdle();
         later(SWEEP_MS, () -> {
-            long late = (System.nanoTime() - due) / 1_000;
-            counters.peak("latest on the I/O thread, us", late);
-            if (late > STALL_US) {
-                counters.recorder().note(What.STALL, null, late / 1_000, 0);
-            }
+            late("latest on the I/O thread, us", due);
             sweep();
         });
     }
 
+    /** Notes how late the thread came; whether it stood still. */
+    private boolean late(String peak, long due) {
+        long late = (System.nanoTime() - due) / 1_000;
+        counters.peak(peak, late);
+        if (late > STALL_US) {
+            counters.recorder().note(What.STALL, null, late / 1_000, 0);
+        }
+        return late > STALL_US;
+    }
+
     private XnioExecutor.Key later(long ms, Runnable task) {
         return io.executeAfter(task, ms, TimeUnit.MILLISECONDS);
     }
@@ -189,11 +195,8 @@
             long due = System.nanoTime();
             io.execute(() -> {
                 turnDue = false;
-                long late = (System.nanoTime() - due) / 1_000;
-                counters.peak("latest turn, us", late);
-                if (late > STALL_US) {
+                if (late("latest turn, us", due)) {
                     counters.count("stalls");
-                    counters.recorder().note(What.STALL, null, late / 1_000, 0);
                 }
                 try {
                     manager.turn(clock.now());
@@ -447,11 +450,6 @@
         counters.count("messages to peers, not sent");
     }
 
-    /** The coordinator tells all changes unasked. */
-    @Override
-    public void subscribe() {
-    }
-
     @Override
     public void wakeIn(long delay, long token) {
         later(Math.max(1, delay / 10), () -> tell("woken", () -> manager.woken(clock.now(), token)));
--- a/src/main/java/firstage/net/engines/Run.java
+++ b/src/main/java/firstage/net/engines/Run.java
@@ -151,23 +151,20 @@
     /** What an answer says, and keeps of it what goes on; null where it can't be one of an engine's. */
     private Word word(Response r, int page) {
         note(What.ANSWERED, r.status());
-        if (!life.runs()) {
-            return switch (r.status()) {
-                case 200 -> Word.LAST;
-                case 202 -> Word.NEWS;
-                case 503, 504 -> r.neverRan() ? Word.TURNED_AWAY : Word.ERROR;
-                case 500 -> Word.ERROR;
-                default -> null;
-            };
+        boolean runs = life.runs();
+        if (runs) {
+            // The latest word only: an earlier one would pass for news when the dispatch ends.
+            report = Engines.report(r);
         }
-        // The latest word only: an earlier one would pass for news when the dispatch ends.
-        report = Engines.report(r);
         return switch (r.status()) {
             case 202 -> {
-                note(r);
-                yield page > 0 ? null : Word.NEWS;
+                if (runs) {
+                    note(r);
+                }
+                yield page > 0 && runs ? null : Word.NEWS;
             }
-            case 200 -> page(r, page);
+            // Of what is given up only its end counts, not its pages.
+            case 200 -> runs ? page(r, page) : Word.LAST;
             case 503, 504 -> r.neverRan() ? Word.TURNED_AWAY : Word.ERROR;
             case 500 -> Word.ERROR;
             // Engines say nothing else: it was spoilt on its way.
