Release asks no engine twice for like batches; probes that tell no load are not made

In Brain.release every event that stirs looks at every held batch, and choose() at every engine (grant, cold room, crowding), then room() over all engines again for each batch that did not go: held x engines x events. Within one release room only shrinks, so a first dispatch like one that found no engine (same group, priority, tables where loads matter) with no less memory finds none either: it is no longer asked.

Setup now passes report.via / report.fields (probesTell) and family_info.out_of_memory (pages, not yet read); where probes tell nothing the Brain does not probe.

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -163,7 +163,8 @@
         zone = deployment.zone();
         nearby = deployment.crossingCosts();
         largestGrant = deployment.largestGrant();
-        probePrice = deployment.probePrice();
+        // A probe whose answer tells no load would be paid for and waited on, and would never let a batch go.
+        probePrice = deployment.probesTell() ? deployment.probePrice() : -1;
         int cores = machines.stream().mapToInt(Deployment.Machine::cores).max().orElse(1);
         part = cores * THREADS_PER_CORE * share;
         notePace = deployment.notePace();
@@ -375,17 +376,31 @@
         stirred = false;
     }
 
+    /**
+     * Within one release room only shrinks: a first dispatch like one that found no engine, with no less
+     * memory, finds none either. Asking again cost every held batch a look at every engine at each event, and
+     * a long queue on a large fleet ran out of processor time.
+     */
     private void release(long now) {
         nextRelease = now + RELEASE;
         crowded = false;
+        int room = room();
+        Map<Long, Double> failed = new HashMap<>();
         for (Batch b : held.isEmpty() ? List.<Batch>of() : new ArrayList<>(held.values())) {
             boolean mayGo = now < lastMoment(b) && myTurn(now, b);
-            Engine e = mayGo ? choose(now, b) : null;
+            boolean byTables = b.group.is.yieldsToLoads() || b.group.is.load();
+            long like = b.dispatches > 0 || b.key >= 0 || looks(b) ? -1
+                    : ((byTables ? b.is.tables() + 1L : 0) * groups.size() + b.is.group()) * 4 + priority(b);
+            boolean vain = like >= 0 && failed.getOrDefault(like, Double.MAX_VALUE) <= b.memoryFigure();
+            Engine e = mayGo && !vain ? choose(now, b) : null;
             crowded |= mayGo && e == null;
+            if (mayGo && e == null && like >= 0) {
+                failed.merge(like, b.memoryFigure(), Math::min);
+            }
             if (e != null) {
                 send(now, b, e);
             } else if (now >= giveUpAt(b)
-                    || b.dispatches == 0 && held.size() > room() * (b.overShare ? OVER_SHARE_ROOM : 1)) {
+                    || b.dispatches == 0 && held.size() > room * (b.overShare ? OVER_SHARE_ROOM : 1)) {
                 held.remove(b.order);
                 if (b.out.isEmpty()) {
                     giveUp(b);
--- a/src/main/java/firstage/fleet/FleetDeployment.java
+++ b/src/main/java/firstage/fleet/FleetDeployment.java
@@ -33,6 +33,6 @@
                         2 * (long) SECOND),
                 new Deployment.Rules(e.coldFrom(), Math.round(e.warmAfter().high()), plan.rules().tipMultiple(),
                         plan.rules().fall(), plan.rules().keyRest(), -1, 0, (long) SECOND),
-                0.4, e.notePace(), false, false, m.probes() ? 0.013 : -1);
+                0.4, e.notePace(), false, false, m.probes() ? 0.013 : -1, true, false);
     }
 }
--- a/src/main/java/firstage/lab/HostileSchedule.java
+++ b/src/main/java/firstage/lab/HostileSchedule.java
@@ -83,7 +83,7 @@
         return new Deployment(chance.nextLong(), 1, 0, 0, groups, List.of(new Deployment.Machine(8, 16_000)), List.of(),
                 new Deployment.Allowed(chance.nextBoolean(), copies, true, true, true, 4, 2 * SECOND),
                 new Deployment.Rules(0, 0, 0, 2 * SECOND, chance.nextBoolean() ? 0 : SECOND / 2, -1, 0, SECOND), 0.5,
-                SECOND / 2, false, false, -1);
+                SECOND / 2, false, false, -1, true, false);
     }
 
     private static ServiceGroup group(Effect effect, boolean ordered, int threads) {
--- a/src/main/java/firstage/setup/Setup.java
+++ b/src/main/java/firstage/setup/Setup.java
@@ -55,7 +55,9 @@
                 f.number("family_info.largest_share", 1), f.time("family_info.progress_pace"),
                 f.text("discovery", "").equals("subscribe"),
                 f.number("deductions.cross_zone", 0) > 0,
-                f.flag("limits.probing") ? f.number("deductions.probe", 0) : -1);
+                f.flag("limits.probing") ? f.number("deductions.probe", 0) : -1,
+                !f.text("report.via", "on_probe").equals("off") && !f.text("report.fields", "waiting").isEmpty(),
+                f.text("family_info.out_of_memory", "wait").equals("page"));
     }
 
     private static ServiceGroup.Effect effect(String word) {
--- a/src/test/java/firstage/FakeHost.java
+++ b/src/test/java/firstage/FakeHost.java
@@ -44,6 +44,8 @@
     double furtherRatio = -1;
     long notePace = SECOND / 2;
     List<Double> rates = List.of();
+    boolean probesTell = true;
+    boolean pages;
 
     FakeHost start(int engines) {
         List<ServiceGroup> groups = List.of(
@@ -54,7 +56,7 @@
                 List.of(new Deployment.Machine(8, memoryMb)), rates.stream().map(r -> r / SECOND).toList(),
                 new Deployment.Allowed(callOff, secondCopies, true, true, true, 4, 2 * SECOND),
                 new Deployment.Rules(0.3, 10 * SECOND, 2, 2 * SECOND, SECOND / 2, furtherRatio, 1, 10 * SECOND),
-                0.5, notePace, false, false, probePrice), this);
+                0.5, notePace, false, false, probePrice, probesTell, pages), this);
         List<Entry> entries = new ArrayList<>();
         for (int e = 0; e < engines; e++) {
             entries.add(entry(e, Standing.ACTIVE, 0));
