--- a/src/main/java/firstage/setup/Setup.java
+++ b/src/main/java/firstage/setup/Setup.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.TreeSet;
 
 /** Turns the wire's settings into what the decisions are told of a deployment. Unknown keys are skipped. */
 public final class Setup {
@@ -14,6 +15,12 @@
     }
 
     public static Deployment read(Fields f) {
+        String via = word(f, "report.via", "on_probe", Set.of("inline", "on_probe", "off"));
+        String whenShort = word(f, "family_info.out_of_memory", "wait", Set.of("wait", "shrink", "page"));
+        if (via.equals("off") && !f.text("report.fields", "").isEmpty()) {
+            // Old shape names values, new shape sends none: engines would be taken for silent about load.
+            throw new MalformedLine("report.fields names values while report.via = off; set one of them");
+        }
         String[] threads = list(f, "family_info.dop");
         String[] loads = list(f, "family_info.class_load");
         String[] yields = list(f, "family_info.yields_to_loads");
@@ -56,8 +63,16 @@
                 f.text("discovery", "").equals("subscribe"),
                 f.number("deductions.cross_zone", 0) > 0,
                 f.flag("limits.probing") ? f.number("deductions.probe", 0) : -1,
-                !f.text("report.via", "on_probe").equals("off") && !f.text("report.fields", "waiting").isEmpty(),
-                f.text("family_info.out_of_memory", "wait").equals("page"));
+                !via.equals("off") && !f.text("report.fields", "waiting").isEmpty(), whenShort.equals("page"));
+    }
+
+    /** A word from a known set; absent, the one that keeps the earlier shape. */
+    private static String word(Fields f, String name, String absent, Set<String> known) {
+        String value = f.text(name, absent);
+        if (!known.contains(value)) {
+            throw new MalformedLine(name + " = " + value + " is none of " + new TreeSet<>(known));
+        }
+        return value;
     }
 
     private static ServiceGroup.Effect effect(String word) {
--- /dev/null
+++ b/src/test/java/firstage/setup/ShapeTest.java
@@ -0,0 +1,42 @@
+package firstage.setup;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import firstage.door.Deployment;
+import org.junit.jupiter.api.Test;
+
+/** Old shape and new are told apart by settings alone; a mix of them is refused, naming the key. */
+class ShapeTest {
+    private static Deployment read(String settings) {
+        return Setup.read(new Fields("POWER_ON " + settings));
+    }
+
+    @Test
+    void withoutTheNewKeysTheShapeIsTheEarlierOne() {
+        Deployment d = read("limits.probing=true deductions.probe=0.01");
+        assertTrue(d.probesTell());
+        assertFalse(d.pages());
+    }
+
+    @Test
+    void theNewShapeIsReadFromItsKeys() {
+        Deployment d = read("report.via=off report.fields= family_info.out_of_memory=page");
+        assertFalse(d.probesTell());
+        assertTrue(d.pages());
+    }
+
+    @Test
+    void aMixOfShapesIsRefusedNamingTheKey() {
+        MalformedLine fault = assertThrows(MalformedLine.class, () -> read("report.via=off report.fields=waiting"));
+        assertTrue(fault.getMessage().startsWith("report.fields"));
+    }
+
+    @Test
+    void anUnknownWordIsRefusedNamingTheKey() {
+        MalformedLine fault = assertThrows(MalformedLine.class, () -> read("family_info.out_of_memory=swap"));
+        assertEquals("family_info.out_of_memory = swap is none of [page, shrink, wait]", fault.getMessage());
+    }
+}
