--- a/src/test/java/firstage/BrainStoriesTest.java
+++ b/src/test/java/firstage/BrainStoriesTest.java
@@ -510,6 +510,19 @@
         assertThat(host.acts).noneMatch(act -> act.startsWith("probe"));
     }
 
+    @Test
+    void whereProbesTellNoLoadACostlyBatchGoesWithoutOne() {
+        host.managers = 64;
+        host.probePrice = 0.01;
+        host.probesTell = false;
+        host.start(3).take(9, REPORT).end(9, Outcome.RETURNED);
+        host.take(10, LOOKUP).slowly(10, 30_000).take(11, LOOKUP).slowly(11, 30_000);
+        host.take(1, REPORT);
+        // Probed, it would wait for a load report that never comes, and be given up unsent.
+        assertThat(host.acts).noneMatch(act -> act.startsWith("probe"));
+        assertThat(host.sent(1)).isEqualTo(1);
+    }
+
     @Test
     void anEngineThatToldOfACrowdIsPassedOverWhileThatIsFresh() {
         host.managers = 64;
