--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -389,12 +389,12 @@
         for (Batch b : held.isEmpty() ? List.<Batch>of() : new ArrayList<>(held.values())) {
             boolean mayGo = now < lastMoment(b) && myTurn(now, b);
             boolean byTables = b.group.is.yieldsToLoads() || b.group.is.load();
-            long like = b.dispatches > 0 || b.key >= 0 || looks(b) ? -1
+            long like = !mayGo || b.dispatches > 0 || b.key >= 0 || looks(b) ? -1
                     : ((byTables ? b.is.tables() + 1L : 0) * groups.size() + b.is.group()) * 4 + priority(b);
             boolean vain = like >= 0 && failed.getOrDefault(like, Double.MAX_VALUE) <= b.memoryFigure();
             Engine e = mayGo && !vain ? choose(now, b) : null;
             crowded |= mayGo && e == null;
-            if (mayGo && e == null && like >= 0) {
+            if (e == null && like >= 0) {
                 failed.merge(like, b.memoryFigure(), Math::min);
             }
             if (e != null) {
