--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -141,6 +141,7 @@
     private final Bins top = new Bins();
     private final Bins fleet = new Bins();
     private long arrivals;
+    private long startedAt = -1;
     private long nextBeat;
     private long nextRelease;
     private long nextFade;
@@ -192,6 +193,9 @@
         b.overShare = arrival.customer() >= 0 && arrival.customer() < quotas.size()
                 && !quotas.get(arrival.customer()).take();
         worth.add(is.utility());
+        if (arrival.estimate() > 0) {
+            b.group.told.add(arrival.estimate());
+        }
         batches.put(arrival.batch(), b);
         stirred = true;
         taken.add(now, 1);
@@ -296,6 +300,7 @@
 
     @Override
     public void listed(long now, EngineList list) {
+        startedAt = startedAt < 0 ? now : startedAt;
         subscribe |= list.kind() == EngineList.Kind.FAILED;
         if (list.kind() == EngineList.Kind.WHOLE || list.kind() == EngineList.Kind.REMEMBERED) {
             engines.values().forEach(e -> e.standing = Standing.LEFT);
@@ -442,7 +447,7 @@
         b.out.add(f);
         b.last = e;
         e.take(f);
-        e.cold.add(now, cold(now, e) < 1 ? b.group.usualWork() : 0);
+        e.cold.add(now, cold(now, e) < 1 ? b.group.weight() : 0);
     }
 
     private int priority(Batch b) {
@@ -609,7 +614,11 @@
         if (rules.tipMultiple() <= 0) {
             return true;
         }
-        double work = b.group.usualWork();
+        // What our life before sent it is forgotten, and counts still: it may have spent our whole part.
+        if (e.start() < startedAt && now < startedAt + rules.fall()) {
+            return false;
+        }
+        double work = b.group.weight();
         double sent = e.cold.touching(now);
         double stands = rules.tipMultiple() * cold(now, e) * e.cores * FULL * rules.fall();
         // Where each part is under any batch, short ones draw lots, which all managers know alike.
--- a/src/main/java/firstage/fleet/EngineModel.java
+++ b/src/main/java/firstage/fleet/EngineModel.java
@@ -2,10 +2,13 @@
 
 import firstage.door.Note;
 import firstage.door.Outcome;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -16,11 +19,13 @@
 final class EngineModel {
     private static final double[] WEIGHTS = {1, 4, 8, 16};
     private static final double FULL = 0.85;
-    private static final int PIECES = 20;
     /** Slack for chance on the cold budget, and the part of the work that must come from managers that were told. */
     private static final double CHANCE = 1.1;
     private static final double TOLD = 2.0 / 3;
 
+    private record Push(long at, Job job, boolean told) {
+    }
+
     enum Standing { UP, DRAINING, DOWN, SILENT, HANGING }
 
     /** Told of a job that is out; the way back is the listener's. */
@@ -28,6 +33,9 @@
         void ended(Job job, Outcome how);
 
         void noted(Job job, Note.Kind kind, double amount);
+
+        /** Whether the manager that sent it still lives the life it sent it in. */
+        boolean alive();
     }
 
     /** A dispatch that is here. */
@@ -69,8 +77,8 @@
     private final List<Job> line = new ArrayList<>();
     private final Map<Integer, Job> loads = new LinkedHashMap<>();
     private final List<Integer> warm = new ArrayList<>();
-    /** Work sent of late, by pieces of the fall window: when a piece began, and how much. */
-    private final List<double[]> pressure = new ArrayList<>();
+    /** What was sent of late, within the fall window. */
+    private final ArrayDeque<Push> pressure = new ArrayDeque<>();
     private Standing standing = Standing.UP;
     private double reserved;
     private long at;
@@ -198,27 +206,31 @@
     /** All work that comes here counts, also what is refused; work that came before the start does not. */
     private void push(Job job) {
         long now = calendar.now();
-        double piece = limits.fall() / (double) PIECES;
-        if (pressure.isEmpty() || now - pressure.get(pressure.size() - 1)[0] > piece) {
-            pressure.add(new double[] {now, 0, 0});
+        pressure.add(new Push(now, job, rules.knowsStart(job.manager, number, startedAt)));
+        while (pressure.peek().at < now - limits.fall()) {
+            pressure.poll();
         }
-        double[] last = pressure.get(pressure.size() - 1);
-        last[1] += job.group.work();
-        last[2] += rules.knowsStart(job.manager, number, startedAt) ? job.group.work() : 0;
-        pressure.removeIf(p -> p[0] < now - limits.fall());
         double share = cold();
         if (share < 1 && limits.tipMultiple() > 0 && standing == Standing.UP) {
-            double sent = pressure.stream().mapToDouble(p -> p[1]).sum();
-            double told = pressure.stream().mapToDouble(p -> p[2]).sum();
+            double sent = pressed(p -> true);
+            double told = pressed(Push::told);
             if (sent > limits.tipMultiple() * share * kind.cores() * speed * FULL * limits.fall() * CHANCE) {
                 if (told >= sent * TOLD) {
-                    rules.fell(number, now);
+                    // Who pushed it: what to look for in a report of this rule.
+                    rules.fell(number, now, String.format(Locale.ROOT, "%.0f%% of the work in the window came from lives"
+                            + " of managers that had ended, %.0f%% from managers told of its start, it started %d ms before",
+                            100 * pressed(p -> !p.job.listener.alive()) / sent, 100 * told / sent,
+                            (now - startedAt) / 10));
                 }
                 becomes(Standing.DOWN);
             }
         }
     }
 
+    private double pressed(Predicate<Push> which) {
+        return pressure.stream().filter(which).mapToDouble(p -> p.job.group.work()).sum();
+    }
+
     private void begin(Job job) {
         reserved += kind.grants() ? job.grant : 0;
         boolean isWarm = warm.remove((Integer) job.is.tables);
--- a/src/main/java/firstage/fleet/ManagerModel.java
+++ b/src/main/java/firstage/fleet/ManagerModel.java
@@ -83,6 +83,11 @@
             });
         }
 
+        @Override
+        public boolean alive() {
+            return mine == life;
+        }
+
         private void over(Outcome how) {
             if (over || mine != life) {
                 return;
--- a/src/main/java/firstage/fleet/RuleWatch.java
+++ b/src/main/java/firstage/fleet/RuleWatch.java
@@ -174,9 +174,9 @@
         }
     }
 
-    void fell(int engine, long now) {
+    void fell(int engine, long now, String how) {
         count++;
-        keep("rule 4 at " + now / 10 + " ms: cold engine " + engine + " was pushed over");
+        keep("rule 4 at " + now / 10 + " ms: cold engine " + engine + " was pushed over; " + how);
     }
 
     private void breaks(long now, int rule, Try t, String how) {
--- a/src/main/java/firstage/state/Group.java
+++ b/src/main/java/firstage/state/Group.java
@@ -6,6 +6,8 @@
 public final class Group {
     public final ServiceGroup is;
     public final Mean work;
+    /** The estimates of what came, whether it was answered or not. */
+    public final Mean told;
     public final Mean memory;
     /** Latency x threads over the batch's figure of work. */
     public final Bins pace = new Bins();
@@ -20,6 +22,7 @@
         this.margin = margin;
         this.best = best;
         work = new Mean(samples);
+        told = new Mean(samples);
         memory = new Mean(samples);
     }
 
@@ -36,7 +39,15 @@
         }
     }
 
-    /** Work of a usual batch, as the cold rule weighs it; the goal where nothing is known yet. */
+    /**
+     * Work of a usual batch as the cold rule weighs it. The first answers after a start are those of the short ones: a
+     * mean of them alone pushed cold engines over, so it is no less than the mean of what was told of all that came.
+     */
+    public double weight() {
+        return Math.max(usualWork(), told.or(0));
+    }
+
+    /** Work of a usual batch; the goal where nothing is known yet. */
     public double usualWork() {
         return work.or(is.goal());
     }
--- a/src/test/java/firstage/BrainStoriesTest.java
+++ b/src/test/java/firstage/BrainStoriesTest.java
@@ -168,6 +168,36 @@
         assertThat(sent).isBetween(1, 24);
     }
 
+    @Test
+    void aManagerThatJustStartedHoldsItsPartOfAnEngineThatWasColdBeforeForSpent() {
+        host.managers = 2;
+        host.start(1).change(0, Standing.ACTIVE, host.now - SECOND).take(1, REPORT);
+        assertThat(host.sent(1)).isZero();
+        // What the life before sent is out of the window.
+        host.pass(2 * SECOND + SECOND / 10);
+        assertThat(host.sent(1)).isOne();
+    }
+
+    @Test
+    void earlyAnswersOfShortBatchesDoNotMakeTheNextSeemLightToAColdEngine() {
+        host.managers = 2;
+        host.start(2).change(1, Standing.LEFT, 0);
+        for (int b = 0; b < 4; b++) {
+            host.take(b, REPORT);
+        }
+        // Of four reports told as 2 s of work each, the short ones are over.
+        host.slowly(0, 1_000).slowly(1, 1_000);
+        host.change(0, Standing.LEFT, 0).change(1, Standing.ACTIVE, host.now);
+        for (int b = 4; b < 24; b++) {
+            host.take(b, REPORT);
+            if (host.sent(b) > 0) {
+                host.slowly(b, 1_000);
+            }
+        }
+        // It stands 8.2 s of work in any 2 s from both managers, by the rule: four reports of 2 s.
+        assertThat(host.dispatches.keySet().stream().filter(b -> b >= 4).count()).isBetween(1L, 2L);
+    }
+
     @Test
     void aBrokenConnectionOfALivingEngineDoesNotMakeItCold() {
         host.managers = 2;
