--- a/src/main/java/firstage/app/Main.java
+++ b/src/main/java/firstage/app/Main.java
@@ -27,6 +27,8 @@
             }
         } else if (args.length >= 1 && args[0].equals("fleet")) {
             System.exit(Fleet.run(Arrays.copyOfRange(args, 1, args.length)));
+        } else if (args.length >= 1 && args[0].equals("yard")) {
+            System.exit(Yard.run(Arrays.copyOfRange(args, 1, args.length)));
         } else if (args.length >= 3 && args.length <= 4 && args[0].equals("hostile")) {
             try {
                 System.exit(Hostile.run(List.of(args).subList(1, args.length)));
@@ -34,7 +36,8 @@
                 end("hostile: " + oneLine(fault));
             }
         } else {
-            end("usage: java -jar firstage.jar benchlink | serve | rehearse | hostile FIRST COUNT [FAULT] | fleet");
+            end("usage: java -jar firstage.jar benchlink | serve | rehearse | hostile FIRST COUNT [FAULT] | fleet"
+                    + " | yard");
         }
     }
 
--- /dev/null
+++ b/src/main/java/firstage/app/Yard.java
@@ -0,0 +1,231 @@
+package firstage.app;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import firstage.fleet.FleetFault;
+import firstage.fleet.FleetFile;
+import firstage.fleet.FleetPlan;
+import firstage.yard.Leftovers;
+import firstage.yard.YardRun;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.stream.Stream;
+import org.tomlj.Toml;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** {@code yard}: plays a plan on real processes of the program, and tells what happened. */
+@Command(name = "yard", mixinStandardHelpOptions = true,
+        subcommands = {Yard.Run.class, Yard.Show.class, Yard.Plans.class},
+        description = "Starts many processes of the program beside stand-ins, breaks things between them, and judges;"
+                + " docs/operators/yard.md says how to read it.",
+        exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:kept (or void: nothing proven)",
+            "1:a rule broke or an expectation was missed", "2:a file or an order can't be used"})
+final class Yard implements Callable<Integer> {
+    private static final int FAULT = 2;
+    private static final String FALLBACK = "java -Xmx64m -Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=1"
+            + " -jar target/firstage.jar serve";
+
+    /** Runs it; the exit code tells the verdict. */
+    static int run(String[] args) {
+        CommandLine line = new CommandLine(new Yard());
+        line.setExecutionExceptionHandler((fault, command, parsed) -> {
+            System.err.println("yard: " + Main.oneLine(fault));
+            return FAULT;
+        });
+        return line.execute(args);
+    }
+
+    @Override
+    public Integer call() {
+        CommandLine.usage(this, System.err);
+        return FAULT;
+    }
+
+    /** {@code yard run}. */
+    @Command(name = "run", mixinStandardHelpOptions = true, description = "Plays a plan and says what came of it.")
+    static final class Run implements Callable<Integer> {
+        @Parameters(index = "0", paramLabel = "FILE", description = "the plan; deploy/yard has some")
+        private Path file;
+        @Option(names = "--seed", defaultValue = "1", description = "what chance draws (${DEFAULT-VALUE})")
+        private long seed;
+        @Option(names = "--managers", paramLabel = "N", description = "another number of managers than the plan's")
+        private Integer managers;
+        @Option(names = "--out", paramLabel = "DIR",
+                description = "where the record goes (a new folder in target/yard)")
+        private Path out;
+        @Option(names = "--jar", defaultValue = "target/firstage.jar", description = "the program (${DEFAULT-VALUE})")
+        private Path jar;
+        @Option(names = "--against", paramLabel = "JAR", description = "plays the same with this jar, too")
+        private Path against;
+        @Option(names = "--peers", description = "tells the managers of each other")
+        private boolean peers;
+
+        @Override
+        public Integer call() throws IOException {
+            FleetPlan plan = plan();
+            Leftovers.sweep().forEach(line -> System.err.println("yard: " + line));
+            Path folder = out != null ? out : Path.of("target", "yard", plan.name() + "-" + seed + "-"
+                    + ProcessHandle.current().pid());
+            YardRun.Result mine = play(plan, folder, jar);
+            if (against == null) {
+                print(mine, null);
+                System.out.println("record: " + folder);
+                return code(mine);
+            }
+            YardRun.Result theirs = play(plan, folder.resolveSibling(folder.getFileName() + "-against"), against);
+            print(mine, theirs);
+            return code(mine);
+        }
+
+        private static int code(YardRun.Result r) {
+            return r.verdict().equals("kept") || r.verdict().equals("void") ? 0 : 1;
+        }
+
+        private FleetPlan plan() throws IOException {
+            if (managers != null && (managers < 1 || managers > 100)) {
+                throw new FleetFault(0, "--managers " + managers + " is impossible; 1 to 100 would do");
+            }
+            try {
+                // Numbers in the plan are checked against as many managers as are to be started.
+                String text = Files.readString(file);
+                FleetPlan plan = FleetFile.read(managers == null ? text
+                        : text.replaceFirst("(?m)(^\\[managers\\][^\\[]*?^count\\s*=\\s*)\\d+", "$1" + managers));
+                YardRun.check(plan);
+                return plan;
+            } catch (NoSuchFileException fault) {
+                throw new FleetFault(0, file + " does not exist; yard list names plans");
+            } catch (FleetFault fault) {
+                throw new FleetFault(0, file + ":" + fault.getMessage());
+            }
+        }
+
+        private YardRun.Result play(FleetPlan plan, Path folder, Path program) throws IOException {
+            if (!Files.exists(program)) {
+                throw new FleetFault(0, program + " does not exist; mvn -q -DskipTests package makes it");
+            }
+            boolean shows = System.console() != null;
+            Path deploy = Path.of("deploy", "balancer.toml");
+            String run = Files.exists(deploy) ? Toml.parse(deploy).getString("run", () -> FALLBACK) : FALLBACK;
+            Files.createDirectories(folder);
+            Files.copy(file, folder.resolve("plan.toml"), java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+            YardRun.Result result = YardRun.play(new YardRun.Order(plan, seed, folder.toAbsolutePath(),
+                    program.toAbsolutePath(), run, peers, line -> {
+                        if (shows) {
+                            System.err.print("\r" + line + "   ");
+                        }
+                    }));
+            if (shows) {
+                System.err.println();
+            }
+            return result;
+        }
+
+        private static String first(YardRun.Result r) {
+            return switch (r.verdict()) {
+                case "void" -> "void: " + r.isVoid();
+                case "broken" -> "broken: " + r.broken().get(0);
+                case "missed" -> "missed: " + r.missed().get(0);
+                default -> "kept";
+            };
+        }
+
+        private static void print(YardRun.Result mine, YardRun.Result theirs) {
+            System.out.println(first(mine) + (theirs == null ? "" : "   |   against: " + first(theirs)));
+            Stream.concat(mine.broken().stream(), mine.missed().stream()).skip(mine.verdict().equals("void") ? 0 : 1)
+                    .forEach(line -> System.out.println("also: " + line));
+            for (Map.Entry<String, Double> f : mine.figures().entrySet()) {
+                System.out.printf(Locale.ROOT, "%-28s %10.4f%s%n", f.getKey(), f.getValue(), theirs == null ? ""
+                        : String.format(Locale.ROOT, " %10.4f", theirs.figures().get(f.getKey())));
+            }
+        }
+    }
+
+    /** {@code yard show}. */
+    @Command(name = "show", mixinStandardHelpOptions = true,
+            description = "Prints the story of a batch, an engine, a manager or a moment over all processes.")
+    static final class Show implements Callable<Integer> {
+        @Parameters(index = "0", paramLabel = "DIR", description = "the record of a run")
+        private Path folder;
+        @Option(names = "--batch", paramLabel = "ID", description = "events of this batch")
+        private String batch;
+        @Option(names = "--engine", paramLabel = "N", description = "events at this engine")
+        private String engine;
+        @Option(names = "--manager", paramLabel = "N", description = "events at this manager")
+        private String manager;
+        @Option(names = "--at", paramLabel = "S", description = "events within half a second of this second")
+        private Double at;
+
+        @Override
+        public Integer call() throws IOException {
+            Path file = folder.resolve("timeline.jsonl");
+            if (!Files.exists(file)) {
+                throw new FleetFault(0, file + " does not exist; name the folder that yard run printed");
+            }
+            int shown = 0;
+            for (String line : Files.readAllLines(file)) {
+                Map<String, String> event = event(line);
+                double ms = Double.parseDouble(event.get("ms"));
+                boolean fits = (batch == null || batch.equals(event.get("batch")))
+                        && (engine == null || engine.equals(event.get("engine")))
+                        && (manager == null || manager.equals(event.get("manager")))
+                        && (at == null || Math.abs(ms - at * 1_000) <= 500);
+                boolean told = batch == null && engine == null && manager == null && at == null;
+                if (fits && (!told || !event.containsKey("batch"))) {
+                    shown++;
+                    event.remove("ms");
+                    System.out.printf(Locale.ROOT, "%10.1f ms  %-12s %s%n", ms, event.remove("what"), event);
+                }
+            }
+            if (shown == 0) {
+                throw new FleetFault(0, "nothing of that kind in " + file);
+            }
+            return 0;
+        }
+
+        private static Map<String, String> event(String line) throws IOException {
+            Map<String, String> event = new LinkedHashMap<>();
+            try (JsonParser in = new JsonFactory().createParser(line)) {
+                in.nextToken();
+                while (in.nextToken() == JsonToken.FIELD_NAME) {
+                    String name = in.currentName();
+                    in.nextToken();
+                    event.put(name, in.getText());
+                }
+            }
+            return event;
+        }
+    }
+
+    /** {@code yard list}. */
+    @Command(name = "list", mixinStandardHelpOptions = true, description = "Names the plans in deploy/yard.")
+    static final class Plans implements Callable<Integer> {
+        @Override
+        public Integer call() throws IOException {
+            Path folder = Path.of("deploy", "yard");
+            if (!Files.isDirectory(folder)) {
+                throw new FleetFault(0, folder + " does not exist; call it from the program's root");
+            }
+            List<Path> files = new ArrayList<>();
+            try (Stream<Path> all = Files.list(folder)) {
+                all.filter(p -> p.toString().endsWith(".toml")).sorted().forEach(files::add);
+            }
+            for (Path p : files) {
+                String first = Files.readAllLines(p).stream().findFirst().orElse("").replaceFirst("^#\\s*", "");
+                System.out.printf("%-34s %s%n", p, first);
+            }
+            return 0;
+        }
+    }
+}
--- a/src/main/java/firstage/fleet/EngineModel.java
+++ b/src/main/java/firstage/fleet/EngineModel.java
@@ -16,7 +16,7 @@
  * a number of threads; what is short of memory spills; what passes the memory waits in line; tables last read are warm;
  * loads hold theirs; one that has started is cold, and falls over when pushed.
  */
-final class EngineModel {
+public final class EngineModel {
     private static final double[] WEIGHTS = {1, 4, 8, 16};
     private static final double FULL = 0.85;
     /** Slack for chance on the cold budget, and the part of the work that must come from managers that were told. */
@@ -26,10 +26,11 @@
     private record Push(long at, Job job, boolean told) {
     }
 
-    enum Standing { UP, DRAINING, DOWN, SILENT, HANGING }
+    /** How it stands. */
+    public enum Standing { UP, DRAINING, DOWN, SILENT, HANGING }
 
     /** Told of a job that is out; the way back is the listener's. */
-    interface Listener {
+    public interface Listener {
         void ended(Job job, Outcome how);
 
         void noted(Job job, Note.Kind kind, double amount);
@@ -39,8 +40,8 @@
     }
 
     /** A dispatch that is here. */
-    static final class Job {
-        final Work is;
+    public static final class Job {
+        public final Work is;
         final FleetPlan.Group group;
         final Listener listener;
         final int manager;
@@ -52,7 +53,7 @@
         private boolean inLine;
         private boolean over;
 
-        Job(Work is, FleetPlan.Group group, Listener listener, int manager, double grant, int priority) {
+        public Job(Work is, FleetPlan.Group group, Listener listener, int manager, double grant, int priority) {
             this.is = is;
             this.manager = manager;
             this.group = group;
@@ -86,7 +87,7 @@
     private int turn;
     private double slower = 1;
 
-    EngineModel(int number, FleetPlan plan, Calendar calendar, Streams streams, RuleWatch rules) {
+    public EngineModel(int number, FleetPlan plan, Calendar calendar, Streams streams, RuleWatch rules) {
         this.number = number;
         this.kind = plan.engines();
         this.calendar = calendar;
@@ -101,21 +102,21 @@
         warmAfter = kind.warmAfter().drawTime(nature);
     }
 
-    int number() {
+    public int number() {
         return number;
     }
 
-    Standing standing() {
+    public Standing standing() {
         return standing;
     }
 
     /** When it last started; 0 for long ago. */
-    long startedAt() {
+    public long startedAt() {
         return startedAt;
     }
 
     /** Queries that wait for memory. */
-    int waiting() {
+    public int waiting() {
         return line.size();
     }
 
@@ -130,7 +131,7 @@
     }
 
     /** Dies, goes silent, drains or is back; with a death all that it had ends, unseen where it went silent. */
-    void becomes(Standing next) {
+    public void becomes(Standing next) {
         advance();
         boolean dies = next == Standing.DOWN || next == Standing.SILENT;
         boolean starts = next == Standing.UP && standing != Standing.UP && standing != Standing.HANGING;
@@ -175,7 +176,7 @@
     }
 
     /** A dispatch comes in. */
-    void send(Job job) {
+    public void send(Job job) {
         push(job);
         if (standing == Standing.SILENT || standing == Standing.HANGING) {
             if (standing == Standing.HANGING) {
@@ -217,8 +218,9 @@
             if (sent > limits.tipMultiple() * share * kind.cores() * speed * FULL * limits.fall() * CHANCE) {
                 if (told >= sent * TOLD) {
                     // Who pushed it: what to look for in a report of this rule.
-                    rules.fell(number, now, String.format(Locale.ROOT, "%.0f%% of the work in the window came from lives"
-                            + " of managers that had ended, %.0f%% from managers told of its start, it started %d ms before",
+                    rules.fell(number, now, String.format(Locale.ROOT,
+                            "of the work in the window %.0f%% came from lives of managers that had ended, "
+                                    + "%.0f%% from managers told of its start, %d ms before",
                             100 * pressed(p -> !p.job.listener.alive()) / sent, 100 * told / sent,
                             (now - startedAt) / 10));
                 }
@@ -374,7 +376,7 @@
     }
 
     /** Sets a job's priority while it is here. */
-    void priority(Job job, int priority) {
+    public void priority(Job job, int priority) {
         if (!job.over && job.priority != priority) {
             advance();
             job.priority = priority;
@@ -383,7 +385,7 @@
     }
 
     /** Ends it, its work lost. */
-    void callOff(Job job) {
+    public void callOff(Job job) {
         if (job.over) {
             return;
         }
--- a/src/main/java/firstage/fleet/FleetPlan.java
+++ b/src/main/java/firstage/fleet/FleetPlan.java
@@ -8,7 +8,66 @@
 public record FleetPlan(String name, long length, Managers managers, Engines engines, Net net, Clients clients,
         Rules rules,
                         Goal goal, List<Group> groups, List<Customer> customers, Traffic traffic,
-                        List<Trouble> troubles) {
+                        List<Trouble> troubles, List<String> zones, List<Fault> faults, List<Expect> expects) {
+
+    /** Managers and engines are dealt round the zones. */
+    public int zoneOf(int number) {
+        return number % zones.size();
+    }
+
+    /** Another number of managers, all else the same. */
+    public FleetPlan withManagers(int count) {
+        Managers m = new Managers(count, managers.unequal, managers.listDelay, managers.probes, managers.secondCopies,
+                managers.callOff, managers.dispatches, managers.restart);
+        return new FleetPlan(name, length, m, engines, net, clients, rules, goal, groups, customers, traffic, troubles,
+                zones, faults, expects);
+    }
+
+    /**
+     * What is broken between processes: {@code who} it strikes, for cuts, loss and delay on the ways from {@code who}
+     * to
+     * {@code to}, both ways unless {@code oneWay}. {@code every} above 0: again each so long, the struck ones in turn.
+     */
+    public record Fault(int line, Kind kind, long at, long length, Who who, Who to, boolean oneWay, double size,
+                        long every) {
+        /** What a plan may call for. */
+        public enum Kind {
+            /** Managers are killed outright, and started again after the managers' restart time. */
+            KILL,
+            /** Managers are told to end (SIGTERM), and started again. */
+            STOP,
+            /** Managers are stopped and go on after {@code length}, without having noticed. */
+            PAUSE,
+            /** Managers are told to read their configuration anew (SIGHUP). */
+            RELOAD,
+            /** Engines die, their connections reset, and come back cold after {@code length}. */
+            DIE,
+            /** Engines say nothing, new connections never come up; they come back cold. */
+            SILENCE,
+            /** Engines take batches and end none. */
+            HANG,
+            /** Engines drain for {@code length}, die, and come back cold. */
+            DRAIN,
+            /** Nothing passes; what was written comes when the cut heals. */
+            CUT,
+            /** Datagrams are lost with this chance; connections stand still for 200 ms with a tenth of it. */
+            LOSS,
+            /** Everything comes {@code size} ms later, and up to as much again. */
+            DELAY,
+            /** Traffic times {@code size}. */
+            TRAFFIC
+        }
+
+        /** Whether the fleet model has it, too. */
+        public boolean modelled() {
+            return kind == Kind.KILL || kind == Kind.DIE || kind == Kind.SILENCE || kind == Kind.HANG
+                    || kind == Kind.TRAFFIC;
+        }
+    }
+
+    /** A figure and its bounds. */
+    public record Expect(int line, String figure, double least, double most) {
+    }
 
     /** {@code unequal}: how far managers' parts of the traffic differ: 0 is not at all. */
     public record Managers(int count, double unequal, Range listDelay, boolean probes, boolean secondCopies,
--- a/src/main/java/firstage/fleet/FleetRun.java
+++ b/src/main/java/firstage/fleet/FleetRun.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Locale;
 import java.util.Random;
 import java.util.random.RandomGenerator;
 
@@ -70,6 +71,14 @@
             RandomGenerator chance = streams.of("trouble", number++);
             calendar.in(t.at(), () -> strike(t, chance));
         }
+        for (FleetPlan.Fault f : plan.faults()) {
+            if (!f.modelled()) {
+                throw new FleetFault(f.line(), "fault: the fleet model has no "
+                        + f.kind().name().toLowerCase(Locale.ROOT) + "; play this plan on processes (yard run)");
+            }
+            RandomGenerator chance = streams.of("fault", number++);
+            calendar.in(f.at(), () -> strike(f, chance));
+        }
         calendar.in(traffic.next(START, START, 1) - START, this::arrival);
         long longest = plan.groups().stream().mapToLong(FleetPlan.Group::limit).max().orElse(0);
         long happened = calendar.play(START + plan.length() + longest + DRAIN);
@@ -191,6 +200,27 @@
         }
     }
 
+    private void strike(FleetPlan.Fault f, RandomGenerator chance) {
+        List<Integer> struck = f.who() == null ? List.of() : f.who().among(plan, chance);
+        switch (f.kind()) {
+            case DIE -> struck.forEach(e -> down(e, EngineModel.Standing.DOWN, f.length(), 1, chance));
+            case SILENCE -> struck.forEach(e -> down(e, EngineModel.Standing.SILENT, f.length(), SILENCE_LATER,
+                    chance));
+            case HANG -> struck.forEach(e -> {
+                engines.get(e).becomes(EngineModel.Standing.HANGING);
+                calendar.in(f.length(), () -> engines.get(e).becomes(EngineModel.Standing.UP));
+            });
+            case KILL -> struck.forEach(m -> {
+                managers.get(m).kill();
+                calendar.in(plan.managers().restart().drawTime(chance), () -> managers.get(m).start());
+            });
+            default -> {
+                boost = f.size();
+                calendar.in(f.length(), () -> boost = 1);
+            }
+        }
+    }
+
     private void down(int e, EngineModel.Standing how, long length, int later, RandomGenerator chance) {
         engines.get(e).becomes(how);
         tell(e, Standing.LEFT, 0, later, chance);
--- a/src/main/java/firstage/fleet/RuleWatch.java
+++ b/src/main/java/firstage/fleet/RuleWatch.java
@@ -14,26 +14,42 @@
  * cold engine pushed over; 5 one at a time and in turn for each key and manager, with its rest. A fleet file states
  * neither places (6) nor a budget (7).
  */
-final class RuleWatch {
+public final class RuleWatch {
     private static final long SLACK = 200;
     private static final int KEPT = 20;
 
     /** One try of a batch at one manager. */
-    static final class Try {
-        final Work is;
-        final int manager;
-        final long notAfter;
+    public static final class Try {
+        public final Work is;
+        public final int manager;
+        public final long notAfter;
         private int answers;
         private boolean nobodys;
         private int out;
         private boolean mayHaveRun;
         private long firstRan = -1;
+        private boolean sent;
+        private long overtakenAt;
 
-        Try(Work is, int manager, long notAfter) {
+        public Try(Work is, int manager, long notAfter) {
             this.is = is;
             this.manager = manager;
             this.notAfter = notAfter;
         }
+
+        /** Whether its manager's life ended, or it never came to one. */
+        public boolean nobodys() {
+            return nobodys;
+        }
+
+        /** Whether a dispatch of it was seen. */
+        public boolean sent() {
+            return sent;
+        }
+
+        public int answers() {
+            return answers;
+        }
     }
 
     private static final class Key {
@@ -43,6 +59,8 @@
     }
 
     private final FleetPlan plan;
+    private final long slack;
+    private final long sent;
     private final List<String> broken = new ArrayList<>();
     private long count;
     private final Map<Long, Integer> runs = new HashMap<>();
@@ -53,7 +71,14 @@
     private final List<Map<Integer, Long>> starts = new ArrayList<>();
 
     RuleWatch(FleetPlan plan) {
+        this(plan, SLACK, 0);
+    }
+
+    /** {@code slack} for answers, {@code sent} for what is seen at engines after it was sent; both tenths of ms. */
+    public RuleWatch(FleetPlan plan, long slack, long sent) {
         this.plan = plan;
+        this.slack = slack;
+        this.sent = sent;
         for (int m = 0; m < plan.managers().count(); m++) {
             keys.add(new HashMap<>());
             drains.add(new HashMap<>());
@@ -61,13 +86,13 @@
         }
     }
 
-    void took(Try t) {
+    public void took(Try t) {
         if (t.is.key >= 0) {
             keys.get(t.manager).computeIfAbsent(t.is.key, k -> new Key()).open.add(t);
         }
     }
 
-    void listed(long now, int manager, int engine, boolean up) {
+    public void listed(long now, int manager, int engine, boolean up) {
         if (up) {
             drains.get(manager).remove(engine);
         } else {
@@ -76,7 +101,7 @@
     }
 
     /** The list told this manager when an engine last started. */
-    void toldStart(int manager, int engine, long since) {
+    public void toldStart(int manager, int engine, long since) {
         starts.get(manager).merge(engine, since, Math::max);
     }
 
@@ -84,14 +109,23 @@
         return starts.get(manager).getOrDefault(engine, 0L) >= since;
     }
 
+    /** It never came to a manager, or to none that lives. */
+    public void untaken(Try t) {
+        t.nobodys = true;
+        Key key = t.is.key >= 0 ? keys.get(t.manager).get(t.is.key) : null;
+        if (key != null) {
+            key.open.remove(t);
+        }
+    }
+
     /** What it held is no duty of anybody's. */
-    void killed(int manager, Iterable<Try> held) {
+    public void killed(int manager, Iterable<Try> held) {
         held.forEach(t -> t.nobodys = true);
         keys.get(manager).clear();
         drains.get(manager).clear();
     }
 
-    void dispatched(long now, Try t, int engine) {
+    public void dispatched(long now, Try t, int engine) {
         Effect effect = plan.groups().get(t.is.group).effect();
         if (t.answers > 0) {
             breaks(now, 1, t, "sent after its answer");
@@ -104,17 +138,22 @@
             breaks(now, 2, t, "sent again past its window");
         }
         Long drain = drains.get(t.manager).get(engine);
-        if (drain != null && now > drain + plan.rules().drainGrace()) {
+        if (drain != null && now > drain + plan.rules().drainGrace() + sent) {
             breaks(now, 3, t, "sent to engine " + engine + ", whose drain was told " + (now - drain) / 10
                     + " ms before");
         }
         t.out++;
+        t.sent = true;
         t.firstRan = t.firstRan < 0 ? now : t.firstRan;
-        Key key = t.is.key >= 0 ? keys.get(t.manager).get(t.is.key) : null;
+        Key key = t.is.key >= 0 && !t.nobodys ? keys.get(t.manager).get(t.is.key) : null;
         if (key != null) {
-            if (key.open.get(0) != t || key.running != null && key.running != t) {
+            if (key.running != null && key.running != t) {
+                breaks(now, 5, t, "sent while batch " + key.running.is.id + " of its key is out");
+            } else if (sent == 0 && (key.open.isEmpty() || key.open.get(0) != t)) {
                 breaks(now, 5, t, "sent out of turn");
             }
+            // Where answers are seen later than statements, one that is on its way is no break.
+            key.open.stream().takeWhile(a -> a != t).filter(a -> a.overtakenAt == 0).forEach(a -> a.overtakenAt = now);
             if (key.running == null && now < key.restUntil && t.firstRan == now) {
                 breaks(now, 5, t, "sent while its key rests");
             }
@@ -122,7 +161,7 @@
         }
     }
 
-    void ended(long now, Try t, Outcome how) {
+    public void ended(long now, Try t, Outcome how) {
         t.out--;
         t.mayHaveRun |= how.mayHaveRun;
         if (!how.mayHaveRun && !t.mayHaveRun && t.out == 0) {
@@ -137,11 +176,15 @@
         }
     }
 
-    void answered(long now, Try t, boolean pushedBack) {
+    public void answered(long now, Try t, boolean pushedBack) {
         if (++t.answers > 1) {
             breaks(now, 1, t, "answered twice");
         }
-        if (now > t.notAfter + SLACK) {
+        if (sent > 0 && t.overtakenAt > 0 && now > t.overtakenAt + sent) {
+            breaks(now, 5, t, "overtaken by a later one of its key, and answered " + (now - t.overtakenAt) / 10
+                    + " ms after that");
+        }
+        if (now > t.notAfter + slack) {
             breaks(now, 1, t, "answered " + (now - t.notAfter) / 10 + " ms late");
         }
         if (pushedBack && plan.groups().get(t.is.group).effect() == Effect.ONCE_ONLY && (t.mayHaveRun || t.out > 0)) {
@@ -154,7 +197,7 @@
     }
 
     /** Its time is over and a little more; it must have its answer. */
-    void due(long now, Try t) {
+    public void due(long now, Try t) {
         if (t.answers == 0 && !t.nobodys) {
             breaks(now, 1, t, "never answered");
         }
@@ -168,7 +211,7 @@
     }
 
     /** A run ends there. */
-    void stops(Work is) {
+    public void stops(Work is) {
         if (plan.groups().get(is.group).effect() != Effect.ONCE_ONLY) {
             runs.remove(is.id);
         }
@@ -184,6 +227,12 @@
         keep("rule " + rule + " at " + now / 10 + " ms: batch " + t.is.id + " at manager " + t.manager + " " + how);
     }
 
+    /** What a carrier sees by itself. */
+    public void broken(String line) {
+        count++;
+        keep(line);
+    }
+
     private void keep(String line) {
         if (broken.size() < KEPT) {
             broken.add(line);
@@ -191,7 +240,7 @@
     }
 
     /** What broke: which rule, when, by whom; the first of them. */
-    List<String> broken() {
+    public List<String> broken() {
         return broken;
     }
 
--- a/src/main/java/firstage/fleet/Scoreboard.java
+++ b/src/main/java/firstage/fleet/Scoreboard.java
@@ -12,7 +12,7 @@
  * worst-served
  * group and customer, and all of them by the goal's weights.
  */
-final class Scoreboard {
+public final class Scoreboard {
     private static final long SPAN = 100_000;
     private static final long MOST_LATENCY = 36_000_000;
 
@@ -29,7 +29,7 @@
     private long pushedBack;
     private long errored;
 
-    Scoreboard(FleetPlan plan, long start) {
+    public Scoreboard(FleetPlan plan, long start) {
         this.plan = plan;
         this.start = start;
         int spans = (int) (plan.length() / SPAN) + 1;
@@ -44,7 +44,7 @@
         return (int) Math.min(asked.length - 1, (is.asked - start) / SPAN);
     }
 
-    void asked(Work is) {
+    public void asked(Work is) {
         double utility = plan.groups().get(is.group).utility();
         batches++;
         asked[span(is)] += utility;
@@ -52,7 +52,7 @@
         byCustomer[is.customer][0] += utility;
     }
 
-    void returned(long now, Work is) {
+    public void returned(long now, Work is) {
         FleetPlan.Group group = plan.groups().get(is.group);
         long took = now - is.asked;
         boolean inTime = took <= group.goal() + group.stretch() * is.work / group.threads();
@@ -65,11 +65,11 @@
         latency.get(is.group).recordValue(Math.min(took, MOST_LATENCY));
     }
 
-    void pushedBack() {
+    public void pushedBack() {
         pushedBack++;
     }
 
-    void errored() {
+    public void errored() {
         errored++;
     }
 
@@ -78,7 +78,7 @@
     }
 
     /** The run's figures by name, in a stated order. */
-    Map<String, Double> figures() {
+    public Map<String, Double> figures() {
         double all = 0;
         double got = 0;
         double worst = 1;
--- a/src/main/java/firstage/fleet/TrafficSource.java
+++ b/src/main/java/firstage/fleet/TrafficSource.java
@@ -4,7 +4,7 @@
 import java.util.random.RandomGenerator;
 
 /** Draws what clients ask for: unequal customers, keys and tables of unequal heat, work and estimates that scatter. */
-final class TrafficSource {
+public final class TrafficSource {
     private final FleetPlan plan;
     private final TrafficShape shape;
     private final RandomGenerator chance;
@@ -15,7 +15,7 @@
     private final double most;
     private long ids;
 
-    TrafficSource(FleetPlan plan, Streams streams) {
+    public TrafficSource(FleetPlan plan, Streams streams) {
         this.plan = plan;
         shape = TrafficShape.of(plan.traffic().kind());
         chance = streams.of("traffic", 0);
@@ -64,7 +64,7 @@
     }
 
     /** When the next batch comes after {@code now}, by thinning a stream of the highest rate. */
-    long next(long now, long start, double boost) {
+    public long next(long now, long start, double boost) {
         double mean = 10_000 / (plan.traffic().rate() * most * boost);
         long at = now;
         do {
@@ -75,7 +75,7 @@
     }
 
     /** {@code dear}: spells that are on, by their group. */
-    Work draw(long now, List<FleetPlan.Trouble> dear) {
+    public Work draw(long now, List<FleetPlan.Trouble> dear) {
         int g = pick(groupEnds);
         FleetPlan.Group group = plan.groups().get(g);
         double z = chance.nextGaussian();
--- a/src/main/java/firstage/fleet/Work.java
+++ b/src/main/java/firstage/fleet/Work.java
@@ -5,23 +5,23 @@
  * to the
  * decisions ({@link ManagerModel} hands those on). Indices are -1 where there is none; times tenths of a millisecond.
  */
-final class Work {
-    final long id;
-    final int group;
-    final int customer;
-    final int key;
-    final int tables;
+public final class Work {
+    public final long id;
+    public final int group;
+    public final int customer;
+    public final int key;
+    public final int tables;
     /** First asked for, and when its client gives up for good. */
-    final long asked;
-    final long limit;
+    public final long asked;
+    public final long limit;
     /** Truly needed: the time of one thread on one core at speed 1, and MB. */
-    final double work;
-    final double memoryMb;
+    public final double work;
+    public final double memoryMb;
     /** As told. */
-    final long estimate;
-    final int memoryTold;
-    int tries;
-    boolean done;
+    public final long estimate;
+    public final int memoryTold;
+    public int tries;
+    public boolean done;
 
     Work(long id, int group, int customer, int key, int tables, long asked, long limit, double work, double memoryMb,
          long estimate, int memoryTold) {
--- /dev/null
+++ b/src/main/java/firstage/standin/Crowd.java
@@ -0,0 +1,318 @@
+package firstage.standin;
+
+import firstage.door.ServiceGroup.Effect;
+import firstage.fleet.FleetPlan;
+import firstage.fleet.RuleWatch;
+import firstage.fleet.RuleWatch.Try;
+import firstage.fleet.Scoreboard;
+import firstage.fleet.Streams;
+import firstage.fleet.TrafficSource;
+import firstage.fleet.Work;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.random.RandomGenerator;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Clients that keep to their schedule, whatever is answered, and a front that spreads them over the managers and goes
+ * on
+ * sending to a dead one until it notices. They retry as the plan says; batches of one key are written well apart.
+ */
+public final class Crowd implements AutoCloseable {
+    private static final Pattern POLL = Pattern.compile("\"poll\":\"([^\"]+)\"");
+    /**
+     * Between batches of one key at one manager: it may be a new connection each time, which the protocol wants
+     * apart.
+     */
+    private static final long KEY_GAP = 3_000;
+    /** After its time is up a client waits so much longer: an answer in it is late, none is lost. */
+    private static final long LAST_WAIT = 5_000;
+    /** The front hears of a death, or of a new life, after about this. */
+    private static final long NOTICE = 15_000;
+    private static final int POLL_TRIES = 3;
+    private static final int CONNECT_MS = 1_000;
+
+    /** Told of what happens to batches. */
+    public interface Witness {
+        void asked(Work is, int manager);
+
+        void tried(Try t);
+
+        /** {@code how}: returned, pushed-back, errored, late, refused, lost. */
+        void ended(Try t, String how);
+    }
+
+    private final Stage stage;
+    private final FleetPlan plan;
+    private final RuleWatch rules;
+    private final Scoreboard score;
+    private final Witness witness;
+    private final TrafficSource traffic;
+    private final RandomGenerator chance;
+    private final List<InetSocketAddress> managers;
+    private final double[] ends;
+    private final Map<String, Try> tickets = new HashMap<>();
+    private final Map<Integer, Long> keyFree = new HashMap<>();
+    private final List<Set<Try>> open = new ArrayList<>();
+    private final Set<Integer> known = new HashSet<>();
+    private final long[] lifeChanged;
+    private final ExecutorService threads = Executors.newFixedThreadPool(3, r -> {
+        Thread thread = new Thread(r, "clients");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final HttpClient http;
+    private double boost = 1;
+    private long until;
+    private long ids;
+    private final long origin;
+
+    public Crowd(Stage stage, FleetPlan plan, Streams streams, RuleWatch rules, Scoreboard score,
+                 List<InetSocketAddress> managers, Witness witness) {
+        System.setProperty("jdk.httpclient.keepalive.timeout", "3");
+        this.stage = stage;
+        this.plan = plan;
+        this.rules = rules;
+        this.score = score;
+        this.managers = managers;
+        this.witness = witness;
+        traffic = new TrafficSource(plan, streams);
+        chance = streams.of("clients", 0);
+        origin = streams.seed("tickets", 0) & 0xFFFFFFFFL;
+        http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).executor(threads)
+                .connectTimeout(Duration.ofMillis(CONNECT_MS)).build();
+        ends = new double[managers.size()];
+        lifeChanged = new long[managers.size()];
+        double sum = 0;
+        for (int m = 0; m < ends.length; m++) {
+            open.add(new LinkedHashSet<>());
+            known.add(m);
+            sum += 1 - plan.managers().unequal() + 2 * plan.managers().unequal() * (m + 0.5) / ends.length;
+            ends[m] = sum;
+        }
+    }
+
+    /** The try that an id belongs to, or null; on the stage's thread. */
+    public Try ticket(String id) {
+        return tickets.get(id);
+    }
+
+    /** Batches come from now on for the plan's length; on the stage's thread. */
+    public void start() {
+        until = stage.now() + plan.length();
+        begin = stage.now();
+        next();
+    }
+
+    private long begin;
+
+    public void boost(double times) {
+        boost = times;
+    }
+
+    private void next() {
+        long now = stage.calendar().now();
+        stage.calendar().in(traffic.next(now, begin, boost) - now, () -> {
+            if (stage.calendar().now() < until) {
+                Work is = traffic.draw(stage.calendar().now(), List.of());
+                score.asked(is);
+                int m = manager(is);
+                witness.asked(is, m);
+                goes(is, m);
+                next();
+            }
+        });
+    }
+
+    /** Whether nothing is asked for any more. */
+    public boolean idle() {
+        return stage.now() > until && open.stream().flatMap(Set::stream).allMatch(t -> t.answers() > 0 || t.nobodys());
+    }
+
+    /** A manager's process is ended: what it holds is nobody's. */
+    public void died(int manager) {
+        List<Try> held = new ArrayList<>();
+        open.get(manager).stream().filter(t -> t.answers() == 0).forEach(held::add);
+        rules.killed(manager, held);
+        changed(manager, false);
+    }
+
+    /** A manager's process serves again, or is about to end by itself. */
+    public void changed(int manager, boolean up) {
+        long mine = ++lifeChanged[manager];
+        stage.calendar().in(up ? 0 : NOTICE / 2 + chance.nextLong(NOTICE), () -> {
+            if (lifeChanged[manager] == mine && up) {
+                known.add(manager);
+            } else if (lifeChanged[manager] == mine) {
+                known.remove(manager);
+            }
+        });
+    }
+
+    private int manager(Work is) {
+        double at = is.key >= 0 ? Math.floorMod(is.key * 0x9E3779B97F4A7C15L, 1L << 40) / (double) (1L << 40)
+                : chance.nextDouble();
+        at *= ends[ends.length - 1];
+        int m = 0;
+        while (m < ends.length - 1 && ends[m] <= at) {
+            m++;
+        }
+        // The next one that the front holds for alive; those of one key go on together.
+        for (int i = 0; i < ends.length && !known.contains(m); i++) {
+            m = (m + 1) % ends.length;
+        }
+        return m;
+    }
+
+    private void goes(Work is, int m) {
+        long now = stage.calendar().now();
+        if (is.key >= 0) {
+            long free = Math.max(now, keyFree.getOrDefault(is.key, 0L));
+            keyFree.put(is.key, free + KEY_GAP);
+            if (free > now) {
+                stage.calendar().in(free - now, () -> send(is, m));
+                return;
+            }
+        }
+        send(is, m);
+    }
+
+    private void send(Work is, int m) {
+        long now = stage.calendar().now();
+        long left = is.limit - now;
+        if (left <= 0) {
+            return;
+        }
+        is.tries++;
+        long patience = Math.min(left, Math.max(1, Math.round((is.limit - is.asked) * plan.clients().tryShare())));
+        Try t = new Try(is, m, now + patience);
+        String id = String.format(Locale.ROOT, "%08x%08x", origin, ++ids);
+        tickets.put(id, t);
+        open.get(m).add(t);
+        rules.took(t);
+        witness.tried(t);
+        FleetPlan.Group group = plan.groups().get(is.group);
+        HttpRequest.Builder call = HttpRequest.newBuilder(uri(m, "/ops/" + group.name()))
+                .timeout(Duration.ofMillis((patience + LAST_WAIT) / 10))
+                .header("X-Job-Id", id).header("X-Allow-Ms", String.valueOf(Math.max(1, patience / 10)))
+                .header("X-Team", plan.customers().get(is.customer).name())
+                .header("X-Size-Ms", String.format(Locale.ROOT, "%.1f", is.estimate / 10.0))
+                .header("X-Memory", String.valueOf(is.memoryTold));
+        if (is.key >= 0) {
+            call.header("X-Item", String.format(Locale.ROOT, "%016x", is.key + 1));
+        }
+        call.POST(HttpRequest.BodyPublishers.ofString((group.load() ? "INSERT INTO sales_" : "SELECT a FROM sales_")
+                + is.tables + ".orders"));
+        ask(t, id, call.build(), POLL_TRIES, true);
+        stage.calendar().in(patience + LAST_WAIT / 2, () -> rules.due(stage.now(), t));
+        stage.calendar().in(patience + 2 * LAST_WAIT, () -> {
+            open.get(m).remove(t);
+            tickets.remove(id);
+        });
+    }
+
+    private URI uri(int m, String path) {
+        InetSocketAddress at = managers.get(m);
+        return URI.create("http://" + at.getAddress().getHostAddress() + ":" + at.getPort() + path);
+    }
+
+    private void ask(Try t, String id, HttpRequest call, int tries, boolean first) {
+        http.sendAsync(call, HttpResponse.BodyHandlers.ofString()).whenComplete((answer, fault) -> stage.news(() -> {
+            if (fault != null) {
+                failed(t, id, call, tries, first, fault instanceof CompletionException ? fault.getCause() : fault);
+                return;
+            }
+            Matcher poll = POLL.matcher(answer.body());
+            if (answer.statusCode() == 200 && poll.find()) {
+                long left = Math.max(10, t.notAfter + LAST_WAIT - stage.now()) / 10;
+                ask(t, id, HttpRequest.newBuilder(uri(t.manager, poll.group(1))).timeout(Duration.ofMillis(left))
+                        .build(), POLL_TRIES, false);
+            } else {
+                answered(t, answer);
+            }
+        }));
+    }
+
+    private void failed(Try t, String id, HttpRequest call, int tries, boolean first, Throwable fault) {
+        boolean unreached = fault instanceof ConnectException || fault instanceof HttpConnectTimeoutException;
+        if (first && unreached) {
+            rules.untaken(t);
+            witness.ended(t, "refused");
+            score.errored();
+            again(t.is, 0, true);
+        } else if (!first && tries > 1 && stage.now() < t.notAfter && fault instanceof IOException) {
+            ask(t, id, call, tries - 1, false);
+        } else {
+            // Rule 1 is judged when its time is up; what a manager that died held is nobody's.
+            witness.ended(t, "lost");
+            score.errored();
+            if (!t.nobodys()) {
+                stage.calendar().in(2_000, () -> {
+                    if (!t.nobodys()) {
+                        rules.broken("rule 1: batch " + t.is.id + " at manager " + t.manager
+                                + " got no answer that can be read: " + fault);
+                    }
+                });
+            }
+            again(t.is, 0, plan.groups().get(t.is.group).effect() == Effect.REPEATABLE);
+        }
+    }
+
+    private void answered(Try t, HttpResponse<String> answer) {
+        long now = stage.now();
+        boolean busy = answer.statusCode() == 429 || answer.statusCode() == 503
+                || answer.body().contains("\"err\":\"Busy\"");
+        boolean good = answer.statusCode() == 200 && !answer.body().contains("\"err\"");
+        rules.answered(now, t, busy);
+        if (good) {
+            witness.ended(t, now <= t.is.limit ? "returned" : "late");
+            if (!t.is.done) {
+                t.is.done = true;
+                score.returned(now, t.is);
+            }
+        } else if (busy) {
+            witness.ended(t, "pushed-back");
+            score.pushedBack();
+            long wait = answer.headers().firstValueAsLong("X-Wait-Ms").orElse(0) * 10;
+            again(t.is, wait, true);
+        } else {
+            witness.ended(t, "errored");
+            score.errored();
+            again(t.is, 0, plan.groups().get(t.is.group).effect() == Effect.REPEATABLE);
+        }
+    }
+
+    private void again(Work is, long comeBack, boolean may) {
+        long wait = plan.clients().pause().drawTime(chance);
+        if (comeBack > 0 && chance.nextDouble() < plan.clients().honour()) {
+            wait = Math.max(wait, comeBack);
+        }
+        if (!is.done && may && is.tries <= plan.clients().retries() && stage.now() + wait < is.limit) {
+            stage.calendar().in(wait, () -> goes(is, manager(is)));
+        }
+    }
+
+    @Override
+    public void close() {
+        threads.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/standin/EngineServer.java
@@ -0,0 +1,308 @@
+package firstage.standin;
+
+import firstage.door.Note;
+import firstage.door.Outcome;
+import firstage.fleet.EngineModel;
+import firstage.fleet.EngineModel.Job;
+import firstage.fleet.EngineModel.Standing;
+import firstage.fleet.FleetPlan;
+import firstage.fleet.RuleWatch;
+import firstage.fleet.RuleWatch.Try;
+import firstage.fleet.Streams;
+import io.undertow.UndertowOptions;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import io.undertow.util.HttpString;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Function;
+import org.xnio.ChannelListener;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.channels.AcceptingChannel;
+
+/**
+ * An engine behind a socket: the fleet model's engine on the wall clock, spoken to by the platform's protocol. A
+ * statement
+ * runs until it ends, is deleted, or was not asked for in 2 s; a call for news is held for 250 ms.
+ */
+public final class EngineServer implements AutoCloseable {
+    private static final long HOLDS = 2_500;
+    private static final long FORGETS = 20_000;
+    private static final HttpString TICKET = new HttpString("X-Ticket");
+    private static final HttpString GRANT = new HttpString("Grant-Mb");
+    private static final HttpString RANK = new HttpString("Rank");
+    private static final HttpString PAGE_COUNT = new HttpString("Page-Count");
+    private static final HttpString SHED = new HttpString("X-Shed");
+    private static final HttpString REMARK = new HttpString("X-Remark");
+    private static final HttpString FIGURE = new HttpString("Figure");
+    private static final HttpString METER = new HttpString("X-Meter");
+
+    /** Told of what comes here. */
+    public interface Witness {
+        /** A statement came whole: a batch's first dispatch, or a further one. */
+        void dispatched(Try t, int engine, boolean further);
+
+        void probed(int engine);
+    }
+
+    private final class Statement implements EngineModel.Listener {
+        private final String id;
+        private final Try is;
+        private Job job;
+        private long asked;
+        private boolean told;
+        private Outcome end;
+        private Note.Kind note;
+        private double amount;
+        private HttpServerExchange held;
+        private int calls;
+
+        private Statement(String id, Try is) {
+            this.id = id;
+            this.is = is;
+        }
+
+        @Override
+        public void ended(Job ended, Outcome how) {
+            end = how;
+            give();
+        }
+
+        @Override
+        public void noted(Job noted, Note.Kind kind, double much) {
+            note = kind;
+            amount = much;
+            give();
+        }
+
+        @Override
+        public boolean alive() {
+            return !is.nobodys();
+        }
+
+        /** A call that wants news. */
+        private void asks(HttpServerExchange x) {
+            asked = stage.now();
+            int mine = ++calls;
+            if (held != null) {
+                answer(held, 202);
+            }
+            held = x;
+            x.dispatch(SameThreadExecutor.INSTANCE, () -> { });
+            if (end != null || note != null) {
+                give();
+                return;
+            }
+            stage.calendar().in(HOLDS, () -> {
+                if (mine == calls && held != null) {
+                    asked = stage.now();
+                    HttpServerExchange empty = held;
+                    held = null;
+                    answer(empty, 202);
+                }
+            });
+        }
+
+        private void give() {
+            if (held == null || model.standing() == Standing.HANGING || model.standing() == Standing.SILENT) {
+                return;
+            }
+            HttpServerExchange x = held;
+            held = null;
+            asked = stage.now();
+            if (end == null) {
+                x.getResponseHeaders().put(REMARK, note == Note.Kind.DONE ? "pct" : note == Note.Kind.SPILLS
+                        ? "overflow" : "queued").put(FIGURE, String.valueOf(note == Note.Kind.DONE
+                        || note == Note.Kind.SPILLS ? amount : note == Note.Kind.WAITS_FOR_MEMORY ? 1 : 2));
+                note = null;
+                answer(x, 202);
+                return;
+            }
+            over(end);
+            switch (end) {
+                case RETURNED -> {
+                    x.getResponseHeaders().put(PAGE_COUNT, "1");
+                    x.setStatusCode(200);
+                    x.getResponseSender().send("a\tb\tc\n");
+                }
+                case TURNED_AWAY -> {
+                    statements.remove(id);
+                    x.getResponseHeaders().put(SHED, "1");
+                    answer(x, 503);
+                }
+                default -> answer(x, 500);
+            }
+        }
+
+        private void over(Outcome how) {
+            if (!told) {
+                told = true;
+                rules.ended(stage.now(), is, how);
+            }
+        }
+
+        private void forgetLater() {
+            stage.calendar().in(Math.max(1, asked + FORGETS - stage.now()), () -> {
+                if (statements.get(id) != this) {
+                    return;
+                }
+                if (stage.now() - asked >= FORGETS && held == null) {
+                    gone(Outcome.TIMED_OUT);
+                } else {
+                    forgetLater();
+                }
+            });
+        }
+
+        private void gone(Outcome how) {
+            statements.remove(id, this);
+            if (job != null) {
+                model.callOff(job);
+            }
+            over(how);
+            if (held != null) {
+                answer(held, 500);
+                held = null;
+            }
+        }
+    }
+
+    private final Stage stage;
+    private final RuleWatch rules;
+    private final Function<String, Try> tickets;
+    private final Witness witness;
+    private final FleetPlan plan;
+    private final EngineModel model;
+    private final int number;
+    private final AcceptingChannel<StreamConnection> server;
+    private final Map<String, Statement> statements = new HashMap<>();
+
+    /** {@code tickets}: the try that an id belongs to; null where no client sent it. */
+    public EngineServer(Stage stage, FleetPlan plan, int number, InetSocketAddress at, Streams streams, RuleWatch rules,
+                        Function<String, Try> tickets, Witness witness) throws IOException {
+        this.stage = stage;
+        this.plan = plan;
+        this.rules = rules;
+        this.tickets = tickets;
+        this.witness = witness;
+        this.number = number;
+        model = new EngineModel(number, plan, stage.calendar(), streams, rules);
+        HttpOpenListener http = new HttpOpenListener(new DefaultByteBufferPool(true, 8 * 1024, 256, 0),
+                OptionMap.builder().set(UndertowOptions.ALWAYS_SET_DATE, false)
+                        .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false).getMap());
+        http.setRootHandler(x -> {
+            stage.calendar().play(stage.now());
+            call(x);
+        });
+        server = stage.worker().createStreamConnectionServer(at, (ChannelListener<AcceptingChannel<StreamConnection>>)
+                from -> {
+                    try {
+                        for (StreamConnection c = from.accept(); c != null; c = from.accept()) {
+                            http.handleEvent(c);
+                        }
+                    } catch (IOException gone) {
+                        // The next one may come in.
+                    }
+                }, OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.BACKLOG, 512)
+                .set(Options.REUSE_ADDRESSES, true).getMap());
+        server.resumeAccepts();
+    }
+
+    public EngineModel model() {
+        return model;
+    }
+
+    /** Dies, goes silent, hangs, drains or is back; on the stage's thread. */
+    public void becomes(Standing next) {
+        boolean loses = next == Standing.DOWN || next == Standing.SILENT;
+        model.becomes(next);
+        if (loses) {
+            statements.values().forEach(s -> s.over(Outcome.BROKEN));
+            statements.clear();
+        }
+    }
+
+    private static void answer(HttpServerExchange x, int status) {
+        x.setStatusCode(status);
+        x.endExchange();
+    }
+
+    private void call(HttpServerExchange x) {
+        String path = x.getRequestPath();
+        String method = x.getRequestMethod().toString();
+        if (model.standing() == Standing.SILENT || model.standing() == Standing.HANGING && !method.equals("POST")) {
+            // Its connections stay open, and nobody is there.
+            x.dispatch(SameThreadExecutor.INSTANCE, () -> { });
+            return;
+        }
+        if (path.equals("/busy")) {
+            witness.probed(number);
+            x.getResponseHeaders().put(METER, "waiting:" + model.waiting());
+            answer(x, 200);
+        } else if (method.equals("POST")) {
+            x.getRequestReceiver().receiveFullBytes((whole, body) -> post(whole));
+        } else {
+            String[] parts = path.split("/");
+            Statement s = parts.length > 2 ? statements.get(parts[2]) : null;
+            switch (method) {
+                case "DELETE" -> {
+                    if (s != null) {
+                        s.gone(Outcome.CALLED_OFF);
+                    }
+                    answer(x, 204);
+                }
+                case "PUT" -> x.getRequestReceiver().receiveFullString((whole, rank) -> {
+                    if (s != null && s.job != null) {
+                        model.priority(s.job, Integer.parseInt(rank.trim()));
+                    }
+                    answer(whole, 204);
+                });
+                default -> {
+                    if (s == null) {
+                        answer(x, 500);
+                    } else {
+                        s.asks(x);
+                    }
+                }
+            }
+        }
+    }
+
+    private void post(HttpServerExchange x) {
+        String id = x.getRequestHeaders().getFirst(TICKET);
+        Try t = id == null ? null : tickets.apply(id);
+        if (t == null || statements.containsKey(id)) {
+            answer(x, 500);
+            return;
+        }
+        boolean further = t.sent();
+        witness.dispatched(t, number, further);
+        rules.dispatched(stage.now(), t, number);
+        Statement s = new Statement(id, t);
+        statements.put(id, s);
+        double grant = Double.parseDouble(header(x, GRANT, "0"));
+        FleetPlan.Group group = plan.groups().get(t.is.group);
+        s.job = new Job(t.is, group, s, t.manager, grant > 0 ? grant : t.is.memoryTold * 1.25,
+                Integer.parseInt(header(x, RANK, "1")));
+        s.asks(x);
+        s.forgetLater();
+        model.send(s.job);
+    }
+
+    private static String header(HttpServerExchange x, HttpString name, String absent) {
+        String value = x.getRequestHeaders().getFirst(name);
+        return value == null ? absent : value;
+    }
+
+    @Override
+    public void close() {
+        IoUtils.safeClose(server);
+    }
+}
--- /dev/null
+++ b/src/main/java/firstage/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins of what workload managers talk to, on loopback: engines, coordinator, clients, and the ways between. */
+package firstage.standin;
--- /dev/null
+++ b/src/main/java/firstage/yard/Wiring.java
@@ -0,0 +1,172 @@
+package firstage.yard;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import firstage.fleet.FleetPlan;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** Writes what each manager is told at its start: its configuration by the platform's page, and its peers. */
+final class Wiring {
+    private static final double SECOND = 10_000;
+
+    private Wiring() {
+    }
+
+    static String engineId(int e) {
+        return String.format(Locale.ROOT, "s-%08x", e + 1);
+    }
+
+    /** Its configuration; the seed differs by manager and run. */
+    static void config(Path file, FleetPlan plan, Addresses at, int m, long seed) throws IOException {
+        try (JsonGenerator out = new JsonFactory().createGenerator(Files.newBufferedWriter(file))) {
+            out.writeStartObject();
+            out.writeStringField("name", "m" + m);
+            out.writeStringField("listen", Addresses.text(at.manager(m)));
+            out.writeStringField("seed", Long.toHexString(seed));
+            out.writeObjectFieldStart("limits");
+            out.writeNumberField("memory_mb", 192);
+            out.writeNumberField("sockets", 1_024);
+            out.writeEndObject();
+            out.writeStringField("coordinator", Addresses.text(at.coordinator(m)));
+            known(out, plan, at, m);
+            settings(out, plan, m);
+            out.writeEndObject();
+        }
+    }
+
+    private static void known(JsonGenerator out, FleetPlan plan, Addresses at, int m) throws IOException {
+        out.writeObjectFieldStart("known");
+        out.writeNumberField("index", 1);
+        out.writeArrayFieldStart("updates");
+        out.writeStartObject();
+        out.writeNumberField("index", 1);
+        out.writeObjectFieldStart("endpoints");
+        out.writeNumberField("generation", 0);
+        out.writeBooleanField("reset", true);
+        out.writeArrayFieldStart("instances");
+        for (int e = 0; e < plan.engines().count(); e++) {
+            out.writeStartObject();
+            out.writeStringField("instanceId", engineId(e));
+            out.writeStringField("hostPort", Addresses.text(at.engineFrom(m, e)));
+            out.writeStringField("zone", plan.zones().get(plan.zoneOf(e)));
+            out.writeStringField("machineType", "std");
+            out.writeNumberField("cell", 0);
+            out.writeStringField("lifecycle", "Ready");
+            out.writeNumberField("weight", 1);
+            out.writeNumberField("startedAtMs", 0);
+            out.writeEndObject();
+        }
+        out.writeEndArray();
+        out.writeEndObject();
+        out.writeEndObject();
+        out.writeEndArray();
+        out.writeEndObject();
+    }
+
+    private static void array(JsonGenerator out, String name, List<?> values) throws IOException {
+        out.writeArrayFieldStart(name);
+        for (Object v : values) {
+            out.writeRawValue(v instanceof String s ? "\"" + s + "\"" : v.toString());
+        }
+        out.writeEndArray();
+    }
+
+    private static void settings(JsonGenerator out, FleetPlan plan, int m) throws IOException {
+        out.writeObjectFieldStart("settings");
+        array(out, "areas", plan.zones());
+        array(out, "kinds", List.of("std"));
+        out.writeNumberField("group_size", plan.managers().count());
+        out.writeNumberField("rank", m);
+        out.writeNumberField("zone", plan.zoneOf(m));
+        out.writeArrayFieldStart("classes");
+        for (FleetPlan.Group g : plan.groups()) {
+            out.writeStartObject();
+            out.writeStringField("name", g.name());
+            out.writeStringField("effect", switch (g.effect()) {
+                case REPEATABLE -> "retryable";
+                case REFERENCED -> "dedup";
+                case ONCE_ONLY -> "fragile";
+            });
+            out.writeStringField("group", g.scope().name().toLowerCase(Locale.ROOT));
+            out.writeNumberField("target", g.goal() / SECOND);
+            out.writeNumberField("aim_stretch", g.stretch());
+            out.writeNumberField("deadline", g.limit() / SECOND);
+            out.writeNumberField("worth", g.utility());
+            out.writeNumberField("late_value", g.lateValue());
+            out.writeNumberField("window", g.window() / SECOND);
+            out.writeBooleanField("by_arrival", g.ordered());
+            out.writeEndObject();
+        }
+        out.writeEndArray();
+        out.writeArrayFieldStart("tenants");
+        double shares = plan.customers().stream().mapToDouble(FleetPlan.Customer::share).sum();
+        for (FleetPlan.Customer c : plan.customers()) {
+            out.writeStartObject();
+            out.writeStringField("name", c.name());
+            out.writeNumberField("quota_per_s", plan.customers().size() < 2 ? 1e9
+                    : plan.traffic().rate() * c.share() / shares);
+            out.writeEndObject();
+        }
+        out.writeEndArray();
+        FleetPlan.Engines e = plan.engines();
+        out.writeObjectFieldStart("family_info");
+        array(out, "dop", plan.groups().stream().map(FleetPlan.Group::threads).toList());
+        array(out, "class_load", plan.groups().stream().map(FleetPlan.Group::load).toList());
+        array(out, "yields_to_loads", plan.groups().stream().map(FleetPlan.Group::yields).toList());
+        array(out, "kind_cores", List.of(e.cores()));
+        array(out, "size_mb", List.of(e.memoryMb()));
+        out.writeBooleanField("takes_grants", e.grants());
+        out.writeBooleanField("lanes_count", e.priorities());
+        out.writeNumberField("progress_pace", e.notePace() / SECOND);
+        out.writeNumberField("largest_share", 0.4);
+        out.writeEndObject();
+        FleetPlan.Managers managers = plan.managers();
+        out.writeObjectFieldStart("limits");
+        out.writeNumberField("connect_timeout", 0.25);
+        out.writeNumberField("keepalive", 15);
+        out.writeNumberField("max_attempts", managers.dispatches());
+        out.writeNumberField("max_retry_after", 2);
+        out.writeBooleanField("retry_after", true);
+        out.writeBooleanField("second_copies", managers.secondCopies());
+        out.writeBooleanField("may_cancel", managers.callOff());
+        out.writeBooleanField("probing", managers.probes());
+        out.writeEndObject();
+        out.writeObjectFieldStart("deductions");
+        out.writeNumberField("probe", 0.013);
+        out.writeNumberField("cross_zone", plan.zones().size() > 1 ? 0.045 : 0);
+        out.writeEndObject();
+        out.writeObjectFieldStart("rules");
+        out.writeNumberField("drain_grace", plan.rules().drainGrace() / SECOND);
+        out.writeNumberField("cold_from", e.coldFrom());
+        out.writeNumberField("ramp_time", e.warmAfter().high() / SECOND);
+        out.writeNumberField("tip_multiple", plan.rules().tipMultiple());
+        out.writeNumberField("fall", plan.rules().fall() / SECOND);
+        out.writeNumberField("key_quiet", plan.rules().keyRest() / SECOND);
+        out.writeEndObject();
+        out.writeEndObject();
+    }
+
+    /** Its peers, each at the address at which this one reaches it. */
+    static void peers(Path file, FleetPlan plan, Addresses at, int m) throws IOException {
+        List<String> lines = new ArrayList<>();
+        lines.add("fleet = \"" + plan.name() + "\"");
+        lines.add("name = \"m" + m + "\"");
+        lines.add("zone = \"" + plan.zones().get(plan.zoneOf(m)) + "\"");
+        lines.add("listen = \"" + Addresses.text(at.mail(m)) + "\"");
+        lines.add("probe = \"200 ms\"");
+        for (int p = 0; p < plan.managers().count(); p++) {
+            if (p != m) {
+                lines.add("");
+                lines.add("[[peer]]");
+                lines.add("name = \"m" + p + "\"");
+                lines.add("address = \"" + Addresses.text(at.peerFrom(m, p)) + "\"");
+            }
+        }
+        Files.write(file, lines);
+    }
+}
--- a/src/test/java/firstage/ArrowsTest.java
+++ b/src/test/java/firstage/ArrowsTest.java
@@ -28,6 +28,7 @@
     final ArchRule SERVES_ALONE = noClasses().that().resideInAnyPackage("firstage", "firstage.door..",
             "firstage.state..", "firstage.setup..", "firstage.life..", "firstage.net..", "firstage.benchlink..",
                     "org.xnio..")
-            .should().dependOnClassesThat().resideInAnyPackage("firstage.fleet..", "firstage.lab..", "picocli..",
+            .should().dependOnClassesThat().resideInAnyPackage("firstage.fleet..", "firstage.lab..", "firstage.yard..",
+                    "firstage.standin..", "picocli..",
                     "org.knowm..", "org.tomlj..", "org.apache.commons.math3..", "org.HdrHistogram..");
 }
