--- a/src/main/java/firstage/fleet/EngineModel.java
+++ b/src/main/java/firstage/fleet/EngineModel.java
@@ -2,10 +2,13 @@
 
 import firstage.door.Note;
 import firstage.door.Outcome;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -13,26 +16,32 @@
  * a number of threads; what is short of memory spills; what passes the memory waits in line; tables last read are warm;
  * loads hold theirs; one that has started is cold, and falls over when pushed.
  */
-final class EngineModel {
+public final class EngineModel {
     private static final double[] WEIGHTS = {1, 4, 8, 16};
     private static final double FULL = 0.85;
-    private static final int PIECES = 20;
     /** Slack for chance on the cold budget, and the part of the work that must come from managers that were told. */
     private static final double CHANCE = 1.1;
     private static final double TOLD = 2.0 / 3;
 
-    enum Standing { UP, DRAINING, DOWN, SILENT, HANGING }
+    private record Push(long at, Job job, boolean told) {
+    }
+
+    /** How it stands. */
+    public enum Standing { UP, DRAINING, DOWN, SILENT, HANGING }
 
     /** Told of a job that is out; the way back is the listener's. */
-    interface Listener {
+    public interface Listener {
         void ended(Job job, Outcome how);
 
         void noted(Job job, Note.Kind kind, double amount);
+
+        /** Whether the manager that sent it still lives the life it sent it in. */
+        boolean alive();
     }
 
     /** A dispatch that is here. */
-    static final class Job {
-        final Work is;
+    public static final class Job {
+        public final Work is;
         final FleetPlan.Group group;
         final Listener listener;
         final int manager;
@@ -44,7 +53,7 @@
         private boolean inLine;
         private boolean over;
 
-        Job(Work is, FleetPlan.Group group, Listener listener, int manager, double grant, int priority) {
+        public Job(Work is, FleetPlan.Group group, Listener listener, int manager, double grant, int priority) {
             this.is = is;
             this.manager = manager;
             this.group = group;
@@ -69,8 +78,8 @@
     private final List<Job> line = new ArrayList<>();
     private final Map<Integer, Job> loads = new LinkedHashMap<>();
     private final List<Integer> warm = new ArrayList<>();
-    /** Work sent of late, by pieces of the fall window: when a piece began, and how much. */
-    private final List<double[]> pressure = new ArrayList<>();
+    /** What was sent of late, within the fall window. */
+    private final ArrayDeque<Push> pressure = new ArrayDeque<>();
     private Standing standing = Standing.UP;
     private double reserved;
     private long at;
@@ -78,7 +87,7 @@
     private int turn;
     private double slower = 1;
 
-    EngineModel(int number, FleetPlan plan, Calendar calendar, Streams streams, RuleWatch rules) {
+    public EngineModel(int number, FleetPlan plan, Calendar calendar, Streams streams, RuleWatch rules) {
         this.number = number;
         this.kind = plan.engines();
         this.calendar = calendar;
@@ -93,21 +102,21 @@
         warmAfter = kind.warmAfter().drawTime(nature);
     }
 
-    int number() {
+    public int number() {
         return number;
     }
 
-    Standing standing() {
+    public Standing standing() {
         return standing;
     }
 
     /** When it last started; 0 for long ago. */
-    long startedAt() {
+    public long startedAt() {
         return startedAt;
     }
 
     /** Queries that wait for memory. */
-    int waiting() {
+    public int waiting() {
         return line.size();
     }
 
@@ -122,7 +131,7 @@
     }
 
     /** Dies, goes silent, drains or is back; with a death all that it had ends, unseen where it went silent. */
-    void becomes(Standing next) {
+    public void becomes(Standing next) {
         advance();
         boolean dies = next == Standing.DOWN || next == Standing.SILENT;
         boolean starts = next == Standing.UP && standing != Standing.UP && standing != Standing.HANGING;
@@ -167,7 +176,7 @@
     }
 
     /** A dispatch comes in. */
-    void send(Job job) {
+    public void send(Job job) {
         push(job);
         if (standing == Standing.SILENT || standing == Standing.HANGING) {
             if (standing == Standing.HANGING) {
@@ -198,27 +207,32 @@
     /** All work that comes here counts, also what is refused; work that came before the start does not. */
     private void push(Job job) {
         long now = calendar.now();
-        double piece = limits.fall() / (double) PIECES;
-        if (pressure.isEmpty() || now - pressure.get(pressure.size() - 1)[0] > piece) {
-            pressure.add(new double[] {now, 0, 0});
+        pressure.add(new Push(now, job, rules.knowsStart(job.manager, number, startedAt)));
+        while (pressure.peek().at < now - limits.fall()) {
+            pressure.poll();
         }
-        double[] last = pressure.get(pressure.size() - 1);
-        last[1] += job.group.work();
-        last[2] += rules.knowsStart(job.manager, number, startedAt) ? job.group.work() : 0;
-        pressure.removeIf(p -> p[0] < now - limits.fall());
         double share = cold();
         if (share < 1 && limits.tipMultiple() > 0 && standing == Standing.UP) {
-            double sent = pressure.stream().mapToDouble(p -> p[1]).sum();
-            double told = pressure.stream().mapToDouble(p -> p[2]).sum();
+            double sent = pressed(p -> true);
+            double told = pressed(Push::told);
             if (sent > limits.tipMultiple() * share * kind.cores() * speed * FULL * limits.fall() * CHANCE) {
                 if (told >= sent * TOLD) {
-                    rules.fell(number, now);
+                    // Who pushed it: what to look for in a report of this rule.
+                    rules.fell(number, now, String.format(Locale.ROOT,
+                            "of the work in the window %.0f%% came from lives of managers that had ended, "
+                                    + "%.0f%% from managers told of its start, %d ms before",
+                            100 * pressed(p -> !p.job.listener.alive()) / sent, 100 * told / sent,
+                            (now - startedAt) / 10));
                 }
                 becomes(Standing.DOWN);
             }
         }
     }
 
+    private double pressed(Predicate<Push> which) {
+        return pressure.stream().filter(which).mapToDouble(p -> p.job.group.work()).sum();
+    }
+
     private void begin(Job job) {
         reserved += kind.grants() ? job.grant : 0;
         boolean isWarm = warm.remove((Integer) job.is.tables);
@@ -362,7 +376,7 @@
     }
 
     /** Sets a job's priority while it is here. */
-    void priority(Job job, int priority) {
+    public void priority(Job job, int priority) {
         if (!job.over && job.priority != priority) {
             advance();
             job.priority = priority;
@@ -371,7 +385,7 @@
     }
 
     /** Ends it, its work lost. */
-    void callOff(Job job) {
+    public void callOff(Job job) {
         if (job.over) {
             return;
         }
