--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -120,14 +120,15 @@
     private final Deployment.Rules rules;
     private final List<Deployment.Machine> machines;
     private final List<Group> groups = new ArrayList<>();
-    private final double share;
+    private final double base;
+    private double share;
     private final int rank;
     private final int managers;
     private final int zone;
     private final boolean nearby;
     private final double largestGrant;
     private final double probePrice;
-    private final double part;
+    private double part;
     private final Mean worth = new Mean(GROUP_SAMPLES);
     private final long notePace;
     private final List<Quota> quotas;
@@ -158,7 +159,8 @@
         machines = deployment.machines();
         taken = new Tally(rules.furtherSpan(), PIECES);
         further = new Tally(rules.furtherSpan(), PIECES);
-        share = 1.0 / deployment.managers();
+        base = 1.0 / deployment.managers();
+        share = base;
         rank = deployment.rank();
         managers = deployment.managers();
         zone = deployment.zone();
@@ -293,6 +295,18 @@
         Optional.ofNullable(batches.get(batch)).ifPresent(this::close);
     }
 
+    @Override
+    public void allotted(long now, double next) {
+        double ratio = next / share;
+        part *= ratio;
+        share = next;
+        for (Engine e : engines.values()) {
+            e.slice = Math.min(e.memory, e.slice * ratio);
+            e.bound = Math.min(e.cores * THREADS_PER_CORE, e.bound * ratio);
+        }
+        stirred = true;
+    }
+
     @Override
     public void closing(long now, long endsAt) {
         closesAt = endsAt;
@@ -619,12 +633,14 @@
             return false;
         }
         double work = b.group.weight();
+        // No peer's word makes room on a cold engine: the rule rests on our own part alone.
+        double own = Math.min(share, base);
         double sent = e.cold.touching(now);
         double stands = rules.tipMultiple() * cold(now, e) * e.cores * FULL * rules.fall();
         // Where each part is under any batch, short ones draw lots, which all managers know alike.
         double lot = (rank * GOLDEN + e.affinity((int) ((now - e.start()) / rules.fall()))) % 1;
-        return sent + work <= stands * share * COLD_SAFETY
-                || sent == 0 && work <= stands * COLD_SHORT && lot < stands * share * COLD_LOTS / work;
+        return sent + work <= stands * own * COLD_SAFETY
+                || sent == 0 && work <= stands * COLD_SHORT && lot < stands * own * COLD_LOTS / work;
     }
 
     // ---- Learning and health.
--- a/src/main/java/firstage/app/Main.java
+++ b/src/main/java/firstage/app/Main.java
@@ -13,9 +13,9 @@
     public static void main(String[] args) throws IOException {
         if (args.length == 1 && args[0].equals("benchlink")) {
             new BenchLink(System.in, System.out, System.err).run();
-        } else if (args.length == 1 && args[0].equals("serve")) {
+        } else if (args.length >= 1 && args[0].equals("serve")) {
             try {
-                Serve.run();
+                Serve.run(List.of(args).subList(1, args.length));
             } catch (IOException | RuntimeException fault) {
                 end("can't serve: " + oneLine(fault));
             }
@@ -27,6 +27,8 @@
             }
         } else if (args.length >= 1 && args[0].equals("fleet")) {
             System.exit(Fleet.run(Arrays.copyOfRange(args, 1, args.length)));
+        } else if (args.length >= 1 && args[0].equals("peers")) {
+            System.exit(PeersView.run(Arrays.copyOfRange(args, 1, args.length)));
         } else if (args.length >= 1 && args[0].equals("yard")) {
             System.exit(Yard.run(Arrays.copyOfRange(args, 1, args.length)));
         } else if (args.length >= 3 && args.length <= 4 && args[0].equals("hostile")) {
@@ -36,8 +38,8 @@
                 end("hostile: " + oneLine(fault));
             }
         } else {
-            end("usage: java -jar firstage.jar benchlink | serve | rehearse | hostile FIRST COUNT [FAULT] | fleet"
-                    + " | yard");
+            end("usage: java -jar firstage.jar benchlink | serve [--peers FILE] | rehearse"
+                    + " | hostile FIRST COUNT [FAULT] | fleet | yard | peers");
         }
     }
 
--- a/src/main/java/firstage/app/Rehearsal.java
+++ b/src/main/java/firstage/app/Rehearsal.java
@@ -40,7 +40,7 @@
         Node node;
         try {
             Files.writeString(file, ASSIGNMENT.formatted(loopback.getHostAddress() + ":" + port));
-            node = new Node(Assignment.read(file));
+            node = new Node(Assignment.read(file), null);
         } finally {
             Files.delete(file);
         }
--- a/src/main/java/firstage/app/Serve.java
+++ b/src/main/java/firstage/app/Serve.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.net.BindException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Semaphore;
 import java.util.logging.Logger;
 import sun.misc.Signal;
@@ -33,25 +34,31 @@
     /** Calls that came before there was a manager to tell, or while one was read. */
     private final Semaphore hangUps = new Semaphore(0);
     private final Path file;
+    /** Null where none are named: then nothing of them is read or loaded. */
+    private final Path peers;
 
-    private Serve(Path file) {
+    private Serve(Path file, Path peers) {
         this.file = file;
+        this.peers = peers;
     }
 
     /** Returns once it serves; the message of the exception names what did not pass. */
-    static void run() throws IOException {
+    static void run(List<String> options) throws IOException {
+        if (!options.isEmpty() && !(options.size() == 2 && options.get(0).equals("--peers"))) {
+            throw new MalformedLine("serve takes --peers FILE and nothing else, not " + String.join(" ", options));
+        }
         String file = System.getenv(ASSIGNMENT);
         if (file == null) {
             throw new MalformedLine("no configuration: " + ASSIGNMENT + " is not set");
         }
-        new Serve(Path.of(file)).start();
+        new Serve(Path.of(file), options.isEmpty() ? null : Path.of(options.get(1))).start();
     }
 
     private void start() throws IOException {
         // By itself a JVM ends on SIGHUP; one that ignores it once can't be told to listen again.
         Signal.handle(new Signal("HUP"), signal -> hangUps.release());
         Assignment told = read();
-        Node node = new Node(told);
+        Node node = new Node(told, peers == null ? null : PeersFile.read(peers, told.name()));
         Signal.handle(new Signal("TERM"), signal -> node.close());
         patiently(ADDRESS_PATIENCE_MS, () -> {
             node.start();
--- a/src/main/java/firstage/door/WorkloadManager.java
+++ b/src/main/java/firstage/door/WorkloadManager.java
@@ -19,6 +19,14 @@
     default void peerSaid(long now, int peer, byte[] words) {
     }
 
+    /**
+     * The part of each engine that it may use now: its own share by the settings, less while it hears too few of the
+     * others,
+     * more where those have given it up. Where nobody shares, it is never told.
+     */
+    default void allotted(long now, double share) {
+    }
+
     /** It takes batches for a short while yet, and what has no answer at {@code endsAt} never gets one. */
     void closing(long now, long endsAt);
 
--- /dev/null
+++ b/src/main/java/firstage/members/Entry.java
@@ -0,0 +1,22 @@
+package firstage.members;
+
+/**
+ * What is told of a member. {@code incarnation}: of its life (Unix ms of its start), raised by itself alone to deny a
+ * doubt; the higher one counts, of equal ones the worse standing. {@code weight}: the share of traffic it wants, 1 is
+ * usual.
+ */
+public record Entry(String name, String zone, long incarnation, Standing standing, String version, double weight) {
+    /** Whether this says more than that: a newer life, or worse of the same. */
+    boolean overrides(Entry other) {
+        return incarnation > other.incarnation
+                || incarnation == other.incarnation && standing.compareTo(other.standing) > 0;
+    }
+
+    Entry with(Standing next) {
+        return new Entry(name, zone, incarnation, next, version, weight);
+    }
+
+    Entry with(long next, Standing is) {
+        return new Entry(name, zone, next, is, version, weight);
+    }
+}
--- a/src/main/java/firstage/net/Node.java
+++ b/src/main/java/firstage/net/Node.java
@@ -15,6 +15,8 @@
 import firstage.net.clients.ClientDoor;
 import firstage.net.engines.Engines;
 import firstage.net.list.Follower;
+import firstage.net.members.PeerList;
+import firstage.net.members.Peers;
 import firstage.setup.Indices;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -58,6 +60,9 @@
     private final ClientDoor door;
     private final Follower follower;
     private final Barrier barrier;
+    /** Null where no peers are named. */
+    private final Peers peers;
+    private double share;
     private final TakingOrder<Came> order = new TakingOrder<>(new Readings());
     private final KeyWatch watch = new KeyWatch();
     private final Indices<Exchange> batches = new Indices<>();
@@ -70,7 +75,8 @@
     private boolean closing;
     private boolean stillSent;
 
-    public Node(Assignment assignment) throws IOException {
+    /** {@code peers}: the other managers; null where they are not named, and nothing of them is loaded. */
+    public Node(Assignment assignment, PeerList peers) throws IOException {
         this.assignment = assignment;
         worker = Xnio.getInstance(Node.class.getClassLoader()).createWorker(OptionMap.builder()
                 .set(Options.WORKER_NAME, "firstage").set(Options.WORKER_IO_THREADS, 1)
@@ -81,13 +87,23 @@
         door = new ClientDoor(io, clock, counters, this, assignment);
         follower = new Follower(io, clock, counters, this, assignment);
         manager = new Brain(assignment.deployment(), this);
+        int all = assignment.deployment().managers();
+        this.peers = peers == null ? null : new Peers(peers, all, assignment.deployment().seed(),
+                System.currentTimeMillis(), io, clock, counters);
+        share = 1.0 / all;
     }
 
     /** Starts serving; returns once clients can connect. Where the address is held, it may be tried again. */
     public void start() throws IOException {
         door.listen(worker);
+        if (peers != null) {
+            peers.listen(worker);
+        }
         io.execute(() -> {
             barrier.start();
+            if (peers != null) {
+                peers.start();
+            }
             follower.follow(assignment);
             door.accept();
             sweep();
@@ -112,6 +128,9 @@
             closing = true;
             stillSent = true;
             LOG.info(() -> "closing with " + open + " batches open");
+            if (peers != null) {
+                peers.leave();
+            }
             tell("closing", () -> manager.closing(clock.now(), since + assignment.endsWithin() - LAST_WORDS));
             later(STILL_SENT_MS, () -> {
                 stillSent = false;
@@ -140,6 +159,9 @@
         boolean held = false;
         try {
             follower.close();
+            if (peers != null) {
+                peers.close();
+            }
             check();
             engines.close();
             barrier.close();
@@ -199,6 +221,7 @@
                     counters.count("stalls");
                 }
                 try {
+                    allot();
                     manager.turn(clock.now());
                 } catch (RuntimeException fault) {
                     failed("turn", fault);
@@ -208,6 +231,14 @@
         }
     }
 
+    /** Asked before each turn: what others gave may have ended while this process stood still. */
+    private void allot() {
+        if (peers != null && peers.share() != share) {
+            share = peers.share();
+            manager.allotted(clock.now(), share);
+        }
+    }
+
     private void tell(String what, Runnable call) {
         try {
             call.run();
--- /dev/null
+++ b/src/main/java/firstage/net/members/Peers.java
@@ -0,0 +1,215 @@
+package firstage.net.members;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import firstage.members.Entry;
+import firstage.members.Leases;
+import firstage.members.Members;
+import firstage.members.Standing;
+import firstage.members.View;
+import firstage.net.Clock;
+import firstage.net.Counters;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.StandardOpenOption;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Logger;
+import java.util.random.RandomGeneratorFactory;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import org.xnio.channels.MulticastMessageChannel;
+import org.xnio.channels.SocketAddressBuffer;
+
+/** The membership's datagrams, clock and log, all on the one I/O thread. */
+public final class Peers implements Members.Carrier {
+    /** What a view is asked for by, from this machine only. */
+    public static final String ASKED = "firstage view 1";
+    private static final Logger LOG = Logger.getLogger(Peers.class.getName());
+    private static final int TICK_MS = 20;
+    private static final int MOST = 1_200;
+    private static final int MOST_A_LOOK = 64;
+    private final PeerList list;
+    private final Clock clock;
+    private final Counters counters;
+    private final XnioIoThread io;
+    private final Members members;
+    private final Leases leases;
+    private final Map<InetSocketAddress, Integer> seeds = new HashMap<>();
+    private final ByteBuffer shared = ByteBuffer.allocateDirect(MOST + 1);
+    private final SocketAddressBuffer from = new SocketAddressBuffer();
+    private MulticastMessageChannel channel;
+    private boolean closed;
+
+    /** {@code all}: how many managers the settings tell of; {@code started}: Unix ms, the number of this life. */
+    public Peers(PeerList list, int all, long seed, long started, XnioIoThread io, Clock clock, Counters counters) {
+        this.list = list;
+        this.io = io;
+        this.clock = clock;
+        this.counters = counters;
+        list.addresses().forEach(a -> seeds.put(a, seeds.size()));
+        String version = Peers.class.getPackage().getImplementationVersion();
+        leases = new Leases(all, list.period(), Files.exists(list.mark()), this::keep, Leases.Fault.NONE);
+        members = new Members(list.fleet(), new Entry(list.name(), list.zone(), started, Standing.HERE,
+                version == null ? "" : version, list.weight()), seeds.size(), list.period(), MOST,
+                RandomGeneratorFactory.of("L64X128MixRandom").create(seed), leases, this, Members.Fault.NONE);
+    }
+
+    /** Listens. */
+    public void listen(XnioWorker worker) throws IOException {
+        channel = worker.createUdpServer(list.listen(), null, OptionMap.EMPTY);
+    }
+
+    /** Begins; on the I/O thread. */
+    public void start() {
+        channel.getReadSetter().set(c -> readable());
+        channel.resumeReads();
+        tick();
+    }
+
+    /** The part of each engine that this manager may use now. */
+    public double share() {
+        return leases.share(clock.now());
+    }
+
+    private void tick() {
+        if (!closed) {
+            members.tick(clock.now());
+            io.executeAfter(this::tick, TICK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** A life that withdraws its word says so to the next one first; a disk may block, so not on this thread. */
+    private void keep() {
+        Thread writer = new Thread(() -> {
+            try (FileChannel file = FileChannel.open(list.mark(), StandardOpenOption.CREATE,
+                    StandardOpenOption.WRITE)) {
+                file.write(ByteBuffer.wrap("withdrew\n".getBytes(StandardCharsets.US_ASCII)));
+                file.force(true);
+                io.execute(leases::kept);
+            } catch (IOException fault) {
+                // Then it withdraws nothing: the others' room stays unused, and no rule is at stake.
+                LOG.warning("no mark can be kept at " + list.mark() + ": " + fault.getMessage());
+            }
+        }, "mark of peers");
+        writer.setDaemon(true);
+        writer.start();
+    }
+
+    private void readable() {
+        try {
+            for (int i = 0; i < MOST_A_LOOK; i++) {
+                shared.clear();
+                int n = channel.receiveFrom(from, shared);
+                if (n <= 0) {
+                    return;
+                }
+                shared.flip();
+                byte[] bytes = new byte[shared.remaining()];
+                shared.get(bytes);
+                InetSocketAddress source = from.getSourceAddress(InetSocketAddress.class);
+                Integer seed = seeds.get(source);
+                if (seed != null) {
+                    members.received(clock.now(), seed, bytes);
+                } else if (source.getAddress().isLoopbackAddress()
+                        && Arrays.equals(bytes, ASKED.getBytes(StandardCharsets.US_ASCII))) {
+                    channel.sendTo(source, ByteBuffer.wrap(told().getBytes(StandardCharsets.UTF_8)));
+                } else {
+                    counters.count("datagrams from nobody");
+                }
+            }
+        } catch (IOException fault) {
+            counters.count("datagrams not read");
+        }
+    }
+
+    /** What it knows, as JSON. */
+    private String told() throws IOException {
+        long now = clock.now();
+        StringWriter text = new StringWriter();
+        try (JsonGenerator out = new JsonFactory().createGenerator(text)) {
+            out.writeStartObject();
+            out.writeStringField("fleet", list.fleet());
+            out.writeStringField("name", list.name());
+            out.writeNumberField("view", members.view().number());
+            out.writeBooleanField("agreed", members.agreed());
+            out.writeNumberField("sure", members.sure(now));
+            out.writeNumberField("share", leases.share(now));
+            out.writeArrayFieldStart("members");
+            for (Entry e : members.entries()) {
+                out.writeStartObject();
+                out.writeStringField("name", e.name());
+                out.writeStringField("zone", e.zone());
+                out.writeStringField("standing", e.standing().name().toLowerCase(Locale.ROOT));
+                out.writeNumberField("since", e.incarnation());
+                out.writeStringField("version", e.version());
+                out.writeNumberField("weight", e.weight());
+                out.writeStringField("link", e.name().equals(list.name()) ? "self" : members.link(now, e.name()));
+                out.writeBooleanField("in view", members.view().names().contains(e.name()));
+                out.writeEndObject();
+            }
+            out.writeEndArray();
+            out.writeObjectFieldStart("refused");
+            for (Map.Entry<String, Long> r : members.refused().entrySet()) {
+                out.writeNumberField(r.getKey(), r.getValue());
+            }
+            out.writeEndObject();
+            out.writeEndObject();
+        }
+        return text.toString();
+    }
+
+    /** It ends by intent; the others are told. */
+    public void leave() {
+        members.leave(clock.now());
+    }
+
+    public void close() {
+        closed = true;
+        members.refused().forEach((why, n) -> counters.add("datagrams refused: " + why, n));
+        IoUtils.safeClose(channel);
+    }
+
+    @Override
+    public void send(int seed, byte[] datagram) {
+        try {
+            counters.count("datagrams out");
+            if (!channel.sendTo(list.addresses().get(seed), ByteBuffer.wrap(datagram))) {
+                counters.count("datagrams not sent");
+            }
+        } catch (IOException nobody) {
+            counters.count("datagrams not sent");
+        }
+    }
+
+    @Override
+    public void changed(long now, View view) {
+        LOG.info(() -> "view {\"number\":" + view.number() + ",\"members\":\"" + String.join(" ", view.names())
+                + "\",\"share\":" + String.format(Locale.ROOT, "%.4f", leases.share(now)) + "}");
+    }
+
+    @Override
+    public void note(long now, String what, String who, String why) {
+        LOG.info(() -> "member {\"is\":\"" + what + "\",\"name\":\"" + who + "\",\"why\":\"" + why + "\"}");
+    }
+
+    @Override
+    public byte[] digest(long now) {
+        return new byte[0];
+    }
+
+    @Override
+    public void digested(long now, String name, byte[] digest) {
+        // Nothing is told yet by the rooms above.
+    }
+}
--- a/src/main/java/firstage/standin/Relay.java
+++ b/src/main/java/firstage/standin/Relay.java
@@ -45,6 +45,7 @@
     private final Thread thread;
     private volatile boolean closed;
     private volatile long pieces;
+    private volatile Exception fault;
 
     private record Timed(long due, Runnable what) {
     }
@@ -109,12 +110,19 @@
                 ready.clear();
             } catch (CancelledKeyException gone) {
                 selector.selectedKeys().clear();
-            } catch (IOException fault) {
-                throw new IllegalStateException(fault);
+            } catch (IOException | RuntimeException over) {
+                // Nothing is carried from here on: whatever the run shows, it shows of this.
+                fault = over;
+                return;
             }
         }
     }
 
+    /** What ended it before its time; null if nothing did. */
+    public Exception fault() {
+        return fault;
+    }
+
     private interface Ready {
         void ready(SelectionKey key) throws IOException;
     }
@@ -163,7 +171,7 @@
         public void changed() {
             soon(() -> {
                 settle();
-                pairs.forEach(Pair::go);
+                List.copyOf(pairs).forEach(Pair::go);
             });
         }
 
--- a/src/main/java/firstage/yard/YardRun.java
+++ b/src/main/java/firstage/yard/YardRun.java
@@ -529,7 +529,8 @@
             }
         }
         double late = stage.late().getValueAtPercentile(99) / 1e3;
-        String isVoid = late <= VOID_99TH_MS ? null : String.format(Locale.ROOT,
+        String isVoid = relay.fault() != null ? "the relay ended: " + relay.fault() : late <= VOID_99TH_MS ? null
+                : String.format(Locale.ROOT,
                 "the stand-ins came %.0f ms late (99th); %.0f would do: fewer managers, or a machine with more time",
                 late, VOID_99TH_MS);
         recording.event(since(), "ends", "broken", broken.size(), "missed", missed.size());
--- /dev/null
+++ b/src/test/java/firstage/net/PeersIT.java
@@ -0,0 +1,61 @@
+package firstage.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What a manager without peers loads, and what it says of a peers file that can't be used. */
+@Timeout(60)
+class PeersIT {
+    @TempDir
+    private Path folder;
+
+    private Process java(String... words) throws IOException {
+        List<String> command = new java.util.ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+        command.addAll(List.of(words));
+        return new ProcessBuilder(command).redirectErrorStream(true)
+                .redirectOutput(folder.resolve("out").toFile()).start();
+    }
+
+    @Test
+    void withoutPeersNothingOfThemIsLoaded() throws Exception {
+        Path loaded = folder.resolve("loaded");
+        Process p = java("-Xlog:class+load:file=" + loaded, "-jar", "target/firstage.jar", "rehearse");
+        assertThat(p.waitFor(30, TimeUnit.SECONDS)).isTrue();
+        String classes = Files.readString(loaded);
+        assertThat(classes).contains("firstage.net.Node").doesNotContain("firstage.members.",
+                "firstage.net.members.Peers",
+                "dataformat.cbor", "org.tomlj", "picocli", "firstage.yard", "firstage.fleet");
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "fleet = 'a'~listen = '127.0.0.1:9'~[[peer]]~address = 'x'|:3: peer.address: 'x' is no address",
+        "fleet = 'a'~listen = '127.0.0.1:9'~colour = 1|:3: colour: is unknown; known are",
+        "fleet = 'a'~[[peer]]~address = '127.0.0.1:8'|has no listen; write listen",
+        "fleet = 'a'~listen = '127.0.0.1:9'~probe = '1 h'~[[peer]]~address = '127.0.0.1:8'|:3: probe: '1 h' is no time",
+        "fleet = 'a'~listen = '127.0.0.1:9'|peer: there are none",
+        "fleet = [|:1:"})
+    void aPeersFileThatCannotBeUsedEndsTheProgramWithOneLine(String text, String line) throws Exception {
+        Path peers = Files.writeString(folder.resolve("peers.toml"), text.replace('~', '\n'));
+        Path config = Files.writeString(folder.resolve("c.json"),
+                "{\"name\":\"m\",\"listen\":\"127.0.0.1:1\",\"settings\":{}}");
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-jar", "target/firstage.jar", "serve", "--peers", peers.toString());
+        builder.environment().put("ROUTER_CONFIG", config.toString());
+        Process p = builder.redirectErrorStream(true).redirectOutput(folder.resolve("out").toFile()).start();
+        assertThat(p.waitFor(30, TimeUnit.SECONDS)).isTrue();
+        assertThat(p.exitValue()).isEqualTo(2);
+        assertThat(Files.readString(folder.resolve("out"))).contains("can't serve: ", line).contains("peers.toml");
+    }
+}
--- /dev/null
+++ b/src/test/java/firstage/yard/YardIT.java
@@ -0,0 +1,98 @@
+package firstage.yard;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import firstage.fleet.FleetFile;
+import firstage.fleet.FleetPlan;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Several processes of the packaged program, faults between them. Rules and crashes are judged, and what members hold
+ * of
+ * each other; no figure that a busy machine moves, and a run without time proves nothing either way.
+ */
+@Timeout(120)
+class YardIT {
+    private static final String RUN = "java -Xmx64m -Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=1"
+            + " -jar target/firstage.jar serve";
+    @TempDir
+    private Path folder;
+
+    private YardRun.Result play(String plan, boolean peers, String more) throws IOException {
+        FleetPlan read = FleetFile.read(Files.readString(Path.of("deploy", "yard", plan + ".toml"))
+                .replaceFirst("(?s)\\[\\[expect.*", "").replace("rate = 50.0", "rate = 25.0") + more);
+        YardRun.check(read);
+        return YardRun.play(new YardRun.Order(read, 1, folder, Path.of("target", "firstage.jar").toAbsolutePath(),
+                RUN, peers,
+                line -> { }));
+    }
+
+    private void holds(YardRun.Result r) {
+        if (r.isVoid() != null) {
+            System.out.println("yard: void: " + r.isVoid());
+        }
+        assertThat(r.broken()).isEmpty();
+    }
+
+    private List<String> told(int manager, String what) throws IOException {
+        return Files.readAllLines(folder.resolve("logs").resolve("m" + manager + ".log")).stream()
+                .filter(line -> line.contains(what)).toList();
+    }
+
+    @Test
+    void inCalmNoRuleBreaksAndTheMembersAgree() throws IOException {
+        holds(play("calm", true, ""));
+        for (int m = 0; m < 4; m++) {
+            assertThat(told(m, "view {")).anyMatch(line -> line.contains("m0 m1 m2 m3"));
+            assertThat(told(m, "\"is\":\"doubted\"")).isEmpty();
+        }
+        try (Stream<Path> files = Files.list(folder)) {
+            assertThat(files.map(p -> p.getFileName().toString()).collect(Collectors.toSet()))
+                    .contains("timeline.jsonl", "seconds.csv", "served.png", "calls.png");
+        }
+    }
+
+    @Test
+    void aOneSidedCutAndAKilledManagerBreakNothingAndAreTold() throws IOException {
+        holds(play("one-sided-cut", true, """
+
+                [[fault]]
+                kind = "kill"
+                at = "2 s"
+                who = "managers 3"
+                """));
+        assertThat(told(0, "member {\"is\":\"doubted\",\"name\":\"m3\"")).isNotEmpty();
+        // Back with a new life, it is one of them again.
+        List<String> views = told(0, "view {");
+        assertThat(views).anyMatch(line -> line.contains("\"m0 m1 m2\""));
+        assertThat(views.subList(2, views.size())).anyMatch(line -> line.contains("m0 m1 m2 m3"));
+        assertThat(told(0, "\"is\":\"gone\"")).isEmpty();
+    }
+
+    @Test
+    void whoDiesAtItsStartIsNamedWithItsLastWords() {
+        assertThat(org.assertj.core.api.Assertions.catchThrowable(() -> YardRun.play(new YardRun.Order(
+                FleetFile.read(Files.readString(Path.of("deploy", "yard", "calm.toml"))), 1, folder,
+                folder.resolve("none.jar"), RUN, false, line -> { }))))
+                .hasMessageContaining("manager 0 ended at its start").hasMessageContaining("none.jar");
+    }
+
+    @Test
+    void aPlanThatNamesAManagerItDoesNotHaveIsRefusedWithLineAndCure() throws IOException {
+        String plan = Files.readString(Path.of("deploy", "yard", "one-sided-cut.toml"));
+        assertThat(org.assertj.core.api.Assertions.catchThrowable(() -> FleetFile.read(plan.replace("managers 0",
+                "managers 9")))).hasMessageContaining("names one that the plan does not have; 0 to 3 would do");
+        assertThat(org.assertj.core.api.Assertions.catchThrowable(() -> FleetFile.read(plan.replace("\"cut\"",
+                "\"cot\"")))).hasMessageContaining("'cot' is none of");
+        assertThat(org.assertj.core.api.Assertions.catchThrowable(() -> YardRun.check(FleetFile.read(
+                plan.replace("\"service\"", "\"servise\""))))).hasMessageContaining("no figure 'servise'");
+    }
+}
