Trials of sick engines by one for all, others keep away and come back in steps

firstage.overload.Trials (owner by rendezvous among those that hold an engine closed, words that age, steps that double), carried in the membership's digest; Brain is told which engines others try and keeps deciding each batch. Owners did not try: their own lost dispatches stood in the way (trials with flights out are none). Those led back were withheld again by words from before.

--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -461,6 +461,7 @@
         b.out.add(f);
         b.last = e;
         e.take(f);
+        e.sentAt = now;
         e.cold.add(now, cold(now, e) < 1 ? b.group.weight() : 0);
     }
 
@@ -514,7 +515,9 @@
             boolean only = first && !e.runs(FIRST_RANK);
             boolean lone = e.flights.isEmpty() && (out == 0 || out + threads <= bounds)
                     || small && only && allowed.priorities() && top.quantile(0.5) < SLOW;
-            boolean fits = lone || e.reserved + grant <= e.slice * warm
+            // One batch of the fleet's is spent on it, and the next: else all would wait until this manager has room.
+            boolean trial = e.triesForAll && e.health == Health.TRIAL;
+            boolean fits = lone || trial || e.reserved + grant <= e.slice * warm
                     && (e.threads + threads <= e.bound * warm || only);
             boolean easy = warm >= 1 && !pressed(now, e) && e.reserved + grant <= e.memory
                     && e.threads + threads <= e.cores * THREADS_PER_CORE;
@@ -523,7 +526,7 @@
                 continue;
             }
             double free = (e.slice * warm - e.reserved) / (e.memory * POOL_SHARE * share);
-            double merit = (fits ? 100 : 0) + Math.max(-20, Math.floor(free * ROOM_STEPS)) * 2
+            double merit = (trial ? CROWDING : 0) + (fits ? 100 : 0) + Math.max(-20, Math.floor(free * ROOM_STEPS)) * 2
                     + (nearby && e.zone == zone ? 1 : 0) + nearness(b, e, loadOrder)
                     - (small ? CROWDING * crowd(now, e) : 0) - (e == b.last ? 50 : 0);
             if (merit > most) {
@@ -580,8 +583,35 @@
         return engines.containsKey(engine) ? engine(engine).flights.size() : 0;
     }
 
+    @Override
+    public boolean closed(int engine) {
+        return engines.containsKey(engine) && engine(engine).standing == Standing.ACTIVE
+                && (engine(engine).health == Health.DOWN || engine(engine).health == Health.SILENT
+                || engine(engine).health == Health.TRIAL);
+    }
+
+    @Override
+    public long triedAt(int engine) {
+        return engines.containsKey(engine) ? engine(engine).sentAt : 0;
+    }
+
+    @Override
+    public long heardAt(int engine) {
+        return engines.containsKey(engine) ? engine(engine).heard : 0;
+    }
+
+    /** Each batch that tries a sick engine is lost with it: of a large fleet one manager tries, the others follow. */
+    @Override
+    public void othersTry(long now, int engine, boolean others, boolean restIsOver) {
+        engine(engine).othersTry = others;
+        engine(engine).triesForAll = restIsOver;
+        engine(engine).restUntil = restIsOver ? now : engine(engine).restUntil;
+        stirred = true;
+    }
+
     private static boolean usable(Engine e) {
-        return e.standing == Standing.ACTIVE && (e.health == Health.READY || e.health == Health.TRIAL);
+        return e.standing == Standing.ACTIVE && !e.othersTry
+                && (e.health == Health.READY || e.health == Health.TRIAL);
     }
 
     /** Whether rules and health let this batch go to this engine at all. */
@@ -592,7 +622,9 @@
             return false;
         }
         // A trial costs one repeatable batch at most; a once-only one would be lost with it.
-        if (e.health == Health.TRIAL && (!e.flights.isEmpty() || is.effect() != Effect.REPEATABLE)) {
+        // Who tries for all has lost some there before, which are out still: only its trial must be one.
+        boolean tried = e.triesForAll ? e.flights.stream().anyMatch(f -> f.sent >= e.restUntil) : !e.flights.isEmpty();
+        if (e.health == Health.TRIAL && (tried || is.effect() != Effect.REPEATABLE)) {
             return false;
         }
         if ((b.mayHaveRun || !b.out.isEmpty()) && is.effect() == Effect.REFERENCED) {
@@ -743,6 +775,8 @@
             if ((row.state == null || row.state == e.health) && row.news == news && row.next != e.health) {
                 e.health = row.next;
                 e.downAt = row.next == Health.DOWN ? now : e.downAt;
+                e.othersTry &= row.next != Health.READY;
+                e.triesForAll &= row.next != Health.READY;
                 boolean rests = row.act == Act.REST;
                 e.restUntil = rests ? now + e.rest : e.restUntil;
                 e.rest = rests ? Math.min(MOST_REST, e.rest * 2) : row.act == Act.CLEAR ? FIRST_REST : e.rest;
@@ -777,7 +811,7 @@
                 }
                 e.slow.halve();
             }
-            if (e.health != Health.READY && now >= e.restUntil) {
+            if (e.health != Health.READY && now >= e.restUntil && !e.othersTry) {
                 health(now, e, News.RESTED);
             }
             for (int i = 0; i < e.flights.size(); i++) {
--- a/src/main/java/firstage/door/WorkloadManager.java
+++ b/src/main/java/firstage/door/WorkloadManager.java
@@ -27,6 +27,28 @@
     default void allotted(long now, double share) {
     }
 
+    /** Whether it holds this engine for down or silent, and when it last sent a batch there; 0 for never. */
+    default boolean closed(int engine) {
+        return false;
+    }
+
+    default long triedAt(int engine) {
+        return 0;
+    }
+
+    /** When this engine last spoke; 0 or less for never. */
+    default long heardAt(int engine) {
+        return 0;
+    }
+
+    /**
+     * Others hold this engine for sick and try it, and it is to keep away; or no longer. Where {@code restIsOver},
+     * they found it well: it may be tried
+     * now. Where nobody shares, it is never told.
+     */
+    default void othersTry(long now, int engine, boolean others, boolean restIsOver) {
+    }
+
     /** It takes batches for a short while yet, and what has no answer at {@code endsAt} never gets one. */
     void closing(long now, long endsAt);
 
--- a/src/main/java/firstage/fleet/Choice.java
+++ b/src/main/java/firstage/fleet/Choice.java
@@ -4,27 +4,39 @@
 import firstage.door.Deployment;
 import firstage.door.Host;
 import firstage.door.WorkloadManager;
+import firstage.overload.Trials;
 import java.util.List;
 import java.util.Locale;
 
 /**
  * What decides in a run: the real decisions, or a textbook policy. {@code bounds} tells the decisions that each
  * engine has
- * so many times its cores and memory, which opens their bounds as a wrong setting would.
+ * so many times its cores and memory, which opens their bounds as a wrong setting would. {@code peers}: managers know
+ * each
+ * other, by the truth, and tell each other what takes its time on its way; {@code trials} puts a fault back.
  */
-public record Choice(String name, PlainPolicy.Kind plain, double bounds) {
+public record Choice(String name, PlainPolicy.Kind plain, double bounds, boolean peers, Trials.Fault trials) {
     private static final String BRAIN = "brain";
+    private static final String PEERS = BRAIN + ":peers";
 
     /** {@code brain}, {@code brain:bounds=4}, {@code random}, {@code round-robin}, ...; a fault names what would do. */
     public static Choice of(String text) {
         if (text.equals(BRAIN)) {
-            return new Choice(text, null, 1);
+            return new Choice(text, null, 1, false, null);
+        }
+        if (text.equals(PEERS)) {
+            return new Choice(text, null, 1, true, Trials.Fault.NONE);
+        }
+        for (Trials.Fault fault : Trials.Fault.values()) {
+            if (text.equals(PEERS + "=" + fault.name().toLowerCase(Locale.ROOT).replace('_', '-'))) {
+                return new Choice(text, null, 1, true, fault);
+            }
         }
         if (text.startsWith(BRAIN + ":bounds=")) {
             try {
                 double bounds = Double.parseDouble(text.substring((BRAIN + ":bounds=").length()));
                 if (bounds > 0 && bounds <= 1_000) {
-                    return new Choice(text, null, bounds);
+                    return new Choice(text, null, bounds, false, null);
                 }
             } catch (NumberFormatException fault) {
                 // Told below.
@@ -33,7 +45,7 @@
         }
         for (PlainPolicy.Kind kind : PlainPolicy.Kind.values()) {
             if (kind.name().toLowerCase(Locale.ROOT).replace('_', '-').equals(text)) {
-                return new Choice(text, kind, 1);
+                return new Choice(text, kind, 1, false, null);
             }
         }
         throw new FleetFault(0, "'" + text + "' is no choice; there are " + String.join(", ", names()));
@@ -41,7 +53,8 @@
 
     /** What {@link #of} knows. */
     public static List<String> names() {
-        return List.of(BRAIN, BRAIN + ":bounds=N", "random", "round-robin", "least-outstanding", "two-choices");
+        return List.of(BRAIN, PEERS, PEERS + "=FAULT", BRAIN + ":bounds=N", "random", "round-robin",
+                "least-outstanding", "two-choices");
     }
 
     WorkloadManager start(Deployment deployment, Host host) {
--- a/src/main/java/firstage/fleet/Comparison.java
+++ b/src/main/java/firstage/fleet/Comparison.java
@@ -75,7 +75,7 @@
     /** Shares of utility, of which more is better; of latencies, pushbacks, errors and late answers less is. */
     public static boolean moreIsBetter(String name) {
         return !name.contains(" ms ") && !name.startsWith("pushed back") && !name.startsWith("errored")
-                && !name.startsWith("late");
+                && !name.startsWith("to a sick") && !name.startsWith("late");
     }
 
     public List<Row> rows() {
--- a/src/main/java/firstage/fleet/FleetRun.java
+++ b/src/main/java/firstage/fleet/FleetRun.java
@@ -7,6 +7,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Random;
 import java.util.random.RandomGenerator;
 
@@ -37,6 +38,8 @@
     private final int[] versions;
     private final List<Trouble> dear = new ArrayList<>();
     private double boost = 1;
+    private long toSick;
+    private double sickSeconds;
 
     private FleetRun(FleetPlan plan, Choice choice, long seed) {
         this.plan = plan;
@@ -66,6 +69,9 @@
 
     private FleetResult play(Choice choice, long seed) {
         managers.forEach(ManagerModel::start);
+        if (choice.peers()) {
+            gossip(streams.of("gossip", 0));
+        }
         int number = 0;
         for (Trouble t : plan.troubles()) {
             RandomGenerator chance = streams.of("trouble", number++);
@@ -82,7 +88,28 @@
         calendar.in(traffic.next(START, START, 1) - START, this::arrival);
         long longest = plan.groups().stream().mapToLong(FleetPlan.Group::limit).max().orElse(0);
         long happened = calendar.play(START + plan.length() + longest + DRAIN);
-        return new FleetResult(choice.name(), seed, score.figures(), rules.broken(), score.batches(), happened);
+        Map<String, Double> figures = score.figures();
+        figures.put("to a sick engine a s", sickSeconds > 0 ? toSick / sickSeconds : 0);
+        return new FleetResult(choice.name(), seed, figures, rules.broken(), score.batches(), happened);
+    }
+
+    /** Each tells one other by chance and hears it, as the membership's probes and their answers do. */
+    private void gossip(RandomGenerator chance) {
+        List<String> up = managers.stream().filter(ManagerModel::up).map(ManagerModel::name).toList();
+        for (int m = 0; m < managers.size() && managers.size() > 1; m++) {
+            ManagerModel other = managers.get((m + 1 + chance.nextInt(managers.size() - 1)) % managers.size());
+            managers.get(m).viewed(up);
+            managers.get(m).tells(other);
+            other.tells(managers.get(m));
+        }
+        if (calendar.now() < START + plan.length()) {
+            calendar.in(ManagerModel.PERIOD, () -> gossip(chance));
+        }
+    }
+
+    @Override
+    public void toSick() {
+        toSick++;
     }
 
     // ---- Clients.
@@ -207,6 +234,7 @@
             case SILENCE -> struck.forEach(e -> down(e, EngineModel.Standing.SILENT, f.length(), SILENCE_LATER,
                     chance));
             case HANG -> struck.forEach(e -> {
+                sickSeconds += f.length() / 1e4;
                 engines.get(e).becomes(EngineModel.Standing.HANGING);
                 calendar.in(f.length(), () -> engines.get(e).becomes(EngineModel.Standing.UP));
             });
@@ -222,6 +250,7 @@
     }
 
     private void down(int e, EngineModel.Standing how, long length, int later, RandomGenerator chance) {
+        sickSeconds += length / 1e4;
         engines.get(e).becomes(how);
         tell(e, Standing.LEFT, 0, later, chance);
         calendar.in(length, () -> {
--- a/src/main/java/firstage/fleet/ManagerModel.java
+++ b/src/main/java/firstage/fleet/ManagerModel.java
@@ -10,6 +10,8 @@
 import firstage.door.Report;
 import firstage.door.WorkloadManager;
 import firstage.fleet.EngineModel.Job;
+import firstage.overload.Trials;
+import firstage.overload.Words;
 import firstage.setup.Indices;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -26,6 +28,9 @@
  */
 final class ManagerModel implements Host {
     private static final long CONNECT = 2_500;
+    /** Between two probes of the membership that would carry the words, and between looks at what is sick. */
+    static final long PERIOD = 2_000;
+    private static final long LOOK = 1_000;
 
     /** What becomes of a try, told to its client. */
     interface Answers {
@@ -34,6 +39,9 @@
         void pushedBack(Work is, long comeBack);
 
         void errored(Work is);
+
+        /** A dispatch goes to an engine that is down, silent or hangs. */
+        void toSick();
     }
 
     private static final class Open {
@@ -121,6 +129,7 @@
     private int life;
     private boolean up;
     private boolean turnDue;
+    private Trials trials;
     private long reportsLater;
     private final Set<Open> open = new LinkedHashSet<>();
     /** The list as it last had it: by engine, standing and start. */
@@ -154,11 +163,52 @@
         keys = new Indices<>();
         manager = choice.start(FleetDeployment.of(plan, number, streams.seed("manager-life", number * 1_000L + life),
                 choice.bounds()), this);
+        if (choice.peers()) {
+            trials = new Trials(name(), PERIOD, (mark, others, over) -> {
+                manager.othersTry(calendar.now(), (int) mark, others, over);
+                stir();
+            }, choice.trials());
+            look(life);
+        }
         list.values().forEach(e -> rules.toldStart(number, e.engine(), e.since()));
         manager.listed(calendar.now(), new EngineList(EngineList.Kind.REMEMBERED, List.copyOf(list.values())));
         stir();
     }
 
+    String name() {
+        return "m" + number;
+    }
+
+    private void look(int mine) {
+        if (mine == life && up) {
+            for (EngineModel e : engines) {
+                trials.holds(calendar.now(), e.number(), manager.closed(e.number()), manager.triedAt(e.number()),
+                        manager.heardAt(e.number()));
+            }
+            trials.look(calendar.now());
+            calendar.in(LOOK, () -> look(mine));
+        }
+    }
+
+    /** Words of one are with the other after their way; nothing where either is down by then. */
+    void tells(ManagerModel other) {
+        if (trials != null && up) {
+            List<Words.Word> words = Words.read(Words.write(trials.words(calendar.now())));
+            calendar.in(way(), () -> {
+                if (other.up && other.trials != null) {
+                    other.trials.heard(calendar.now(), name(), words);
+                }
+            });
+        }
+    }
+
+    /** Who is up. */
+    void viewed(List<String> names) {
+        if (trials != null) {
+            trials.viewed(names);
+        }
+    }
+
     /** Killed: its clients must ask again, what it had out goes on at the engines. */
     void kill() {
         List<RuleWatch.Try> held = new ArrayList<>();
@@ -262,6 +312,9 @@
         Open b = batches.id(batch);
         EngineModel e = engines.get(engine);
         rules.dispatched(calendar.now(), b.is, engine);
+        if (e.standing() != EngineModel.Standing.UP && e.standing() != EngineModel.Standing.DRAINING) {
+            answers.toSick();
+        }
         Sent s = new Sent(b, e, b.dispatches++);
         b.out.add(s);
         boolean fresh = e.standing() == EngineModel.Standing.SILENT && chance.nextBoolean();
--- a/src/main/java/firstage/lab/MembersField.java
+++ b/src/main/java/firstage/lab/MembersField.java
@@ -72,7 +72,7 @@
             }, leaseFault);
             members = new Members("field", new Entry("m" + number, "z" + number % 2, calendar.now() + 1,
                     Standing.HERE, "1",
-                    1), places.size(), PERIOD, MOST, chances.create(chance.nextLong()), leases, this, fault);
+                    1), places.size(), PERIOD, MOST, CHANCES.create(chance.nextLong()), leases, this, fault);
             tick(mine);
         }
 
@@ -167,7 +167,7 @@
         }
     }
 
-    private static final RandomGeneratorFactory<RandomGenerator> chances =
+    private static final RandomGeneratorFactory<RandomGenerator> CHANCES =
             RandomGeneratorFactory.of("L64X128MixRandom");
     private final Calendar calendar = new Calendar(START);
     private final RandomGenerator chance;
@@ -181,7 +181,7 @@
     private double doubled;
 
     public MembersField(int count, long seed, Members.Fault fault, Leases.Fault leaseFault) {
-        chance = chances.create(seed);
+        chance = CHANCES.create(seed);
         this.fault = fault;
         this.leaseFault = leaseFault;
         cut = new boolean[count][count];
--- a/src/main/java/firstage/net/Node.java
+++ b/src/main/java/firstage/net/Node.java
@@ -42,6 +42,7 @@
     /** Tenths of a millisecond that the last answers may need on their way. */
     private static final long LAST_WORDS = 5_000;
     private static final long SWEEP_MS = 1_000;
+    private static final long TRIALS_MS = 100;
     /** After a client's time is up; its answer must be there 50 ms after it. */
     private static final long OVERDUE_MS = 35;
     /** Dispatches that are given up end within this. */
@@ -89,7 +90,7 @@
         manager = new Brain(assignment.deployment(), this);
         int all = assignment.deployment().managers();
         this.peers = peers == null ? null : new Peers(peers, all, assignment.deployment().seed(),
-                System.currentTimeMillis(), io, clock, counters);
+                System.currentTimeMillis(), io, clock, counters, this::othersTry);
         share = 1.0 / all;
     }
 
@@ -103,6 +104,7 @@
             barrier.start();
             if (peers != null) {
                 peers.start();
+                lookAtTrials();
             }
             follower.follow(assignment);
             door.accept();
@@ -231,6 +233,26 @@
         }
     }
 
+    private void othersTry(long engine, boolean others, boolean restIsOver) {
+        counters.count(others ? "trials left to others" : "trials taken back");
+        int index = ids.find(engine);
+        if (index >= 0) {
+            tell("trials", () -> manager.othersTry(clock.now(), index, others, restIsOver));
+        }
+    }
+
+    /** Tells what the decisions hold of each engine to who shares the trials. */
+    private void lookAtTrials() {
+        for (int engine = 0; engine < engines.count(); engine++) {
+            if (engines.listed(engine)) {
+                peers.trials().holds(clock.now(), ids.id(engine), manager.closed(engine), manager.triedAt(engine),
+                        manager.heardAt(engine));
+            }
+        }
+        peers.trials().look(clock.now());
+        later(TRIALS_MS, this::lookAtTrials);
+    }
+
     /** Asked before each turn: what others gave may have ended while this process stood still. */
     private void allot() {
         if (peers != null && peers.share() != share) {
@@ -466,6 +488,9 @@
 
     @Override
     public void forgetEngine(int engine) {
+        if (peers != null) {
+            peers.trials().forget(ids.id(engine));
+        }
         ids.release(engine);
         engines.forget(engine);
     }
--- a/src/main/java/firstage/net/engines/Engines.java
+++ b/src/main/java/firstage/net/engines/Engines.java
@@ -100,6 +100,11 @@
         }
     }
 
+    /** Whether it was ever listed and is not forgotten. */
+    public boolean listed(int index) {
+        return index < links.size() && links.get(index) != null;
+    }
+
     /** It left long ago; its connections ended with it. */
     public void forget(int index) {
         counters.hold(out.get(index) == 0, "an engine that is forgotten has nothing out");
--- a/src/main/java/firstage/net/members/Peers.java
+++ b/src/main/java/firstage/net/members/Peers.java
@@ -9,6 +9,8 @@
 import firstage.members.View;
 import firstage.net.Clock;
 import firstage.net.Counters;
+import firstage.overload.Trials;
+import firstage.overload.Words;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.net.InetSocketAddress;
@@ -45,6 +47,7 @@
     private final XnioIoThread io;
     private final Members members;
     private final Leases leases;
+    private final Trials trials;
     private final Map<InetSocketAddress, Integer> seeds = new HashMap<>();
     private final ByteBuffer shared = ByteBuffer.allocateDirect(MOST + 1);
     private final SocketAddressBuffer from = new SocketAddressBuffer();
@@ -52,8 +55,10 @@
     private boolean closed;
 
     /** {@code all}: how many managers the settings tell of; {@code started}: Unix ms, the number of this life. */
-    public Peers(PeerList list, int all, long seed, long started, XnioIoThread io, Clock clock, Counters counters) {
+    public Peers(PeerList list, int all, long seed, long started, XnioIoThread io, Clock clock, Counters counters,
+                 Trials.Effects effects) {
         this.list = list;
+        trials = new Trials(list.name(), list.period(), effects, Trials.Fault.NONE);
         this.io = io;
         this.clock = clock;
         this.counters = counters;
@@ -145,6 +150,7 @@
             out.writeBooleanField("agreed", members.agreed());
             out.writeNumberField("sure", members.sure(now));
             out.writeNumberField("share", leases.share(now));
+            out.writeNumberField("trials withheld", trials.withheld());
             out.writeArrayFieldStart("members");
             for (Entry e : members.entries()) {
                 out.writeStartObject();
@@ -194,6 +200,7 @@
 
     @Override
     public void changed(long now, View view) {
+        trials.viewed(view.names());
         LOG.info(() -> "view {\"number\":" + view.number() + ",\"members\":\"" + String.join(" ", view.names())
                 + "\",\"share\":" + String.format(Locale.ROOT, "%.4f", leases.share(now)) + "}");
     }
@@ -205,11 +212,16 @@
 
     @Override
     public byte[] digest(long now) {
-        return new byte[0];
+        return Words.write(trials.words(now));
     }
 
     @Override
     public void digested(long now, String name, byte[] digest) {
-        // Nothing is told yet by the rooms above.
+        trials.heard(now, name, Words.read(digest));
+    }
+
+    /** Who tries which sick engine; on the I/O thread. */
+    public Trials trials() {
+        return trials;
     }
 }
--- a/src/main/java/firstage/state/Engine.java
+++ b/src/main/java/firstage/state/Engine.java
@@ -27,6 +27,12 @@
     public int threads;
     public final List<Flight> flights = new ArrayList<>();
     public Health health = Health.READY;
+    /** Another manager tries it, and tells when it is well. */
+    public boolean othersTry;
+    /** It is tried for all others, or they found it well: what was lost there before does not keep from trying. */
+    public boolean triesForAll;
+    /** When a batch last went there; 0 for never. */
+    public long sentAt;
     public long rest;
     public long restUntil;
     public long heard;
--- /dev/null
+++ b/src/test/java/firstage/overload/TrialsTest.java
@@ -0,0 +1,180 @@
+package firstage.overload;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.junit.jupiter.api.Test;
+
+/** Managers that tell each other which engines are sick: who tries, who keeps away, and how all come back. */
+class TrialsTest {
+    private static final long SECOND = 10_000;
+    private static final long PERIOD = 2_000;
+    private static final int ENGINES = 12;
+    private final RandomGenerator chance = RandomGeneratorFactory.of("L64X128MixRandom").create(5);
+
+    private final class One {
+        private final String name;
+        private final Trials trials;
+        private final Set<Long> withheld = new HashSet<>();
+        private final Set<Long> closed = new HashSet<>();
+        private long triedAt;
+        private int led;
+
+        private One(String name, Trials.Fault fault) {
+            this.name = name;
+            trials = new Trials(name, PERIOD, (engine, others, over) -> {
+                if (others) {
+                    withheld.add(engine);
+                } else {
+                    withheld.remove(engine);
+                }
+                led += over ? 1 : 0;
+            }, fault);
+        }
+
+        private void look() {
+            for (long e = 0; e < ENGINES; e++) {
+                trials.holds(now, e, closed.contains(e), closed.contains(e) ? triedAt : 0, 0);
+            }
+            trials.look(now);
+        }
+    }
+
+    private final List<One> all = new ArrayList<>();
+    private long now = 100 * SECOND;
+    private boolean told = true;
+
+    private void fleet(int count, Trials.Fault fault) {
+        List<String> names = new ArrayList<>();
+        for (int m = 0; m < count; m++) {
+            all.add(new One("m" + m, fault));
+            names.add("m" + m);
+        }
+        all.forEach(o -> o.trials.viewed(names));
+    }
+
+    private void pass(long time) {
+        for (long until = now + time; now < until; now += PERIOD / 2) {
+            for (One o : all) {
+                o.look();
+                One other = all.get(chance.nextInt(all.size()));
+                if (told && other != o) {
+                    other.trials.heard(now, o.name, Words.read(Words.write(o.trials.words(now))));
+                    o.trials.heard(now, other.name, Words.read(Words.write(other.trials.words(now))));
+                }
+            }
+        }
+    }
+
+    private void closes(long engine, int count) {
+        for (int m = 0; m < count; m++) {
+            all.get(m).closed.add(engine);
+            all.get(m).triedAt = now;
+        }
+    }
+
+    private long free(long engine) {
+        return all.stream().filter(o -> !o.withheld.contains(engine)).count();
+    }
+
+    @Test
+    void ofManyThatHoldItClosedOneTriesAndAllOthersKeepAway() {
+        fleet(12, Trials.Fault.NONE);
+        closes(3, 6);
+        pass(5 * SECOND);
+        assertThat(free(3)).isOne();
+        assertThat(all.stream().filter(o -> !o.withheld.contains(3L)).findFirst().orElseThrow().closed).contains(3L);
+        assertThat(free(4)).isEqualTo(12);
+    }
+
+    @Test
+    void withTheFaultThatAllOwnItAllTry() {
+        fleet(12, Trials.Fault.ALL_OWN);
+        closes(3, 12);
+        pass(5 * SECOND);
+        assertThat(free(3)).isGreaterThan(1);
+    }
+
+    @Test
+    void whatOnlyOneHoldsClosedIsItsOwnMatter() {
+        fleet(12, Trials.Fault.NONE);
+        closes(3, 1);
+        pass(10 * SECOND);
+        assertThat(free(3)).isEqualTo(12);
+        all.clear();
+        fleet(12, Trials.Fault.ALONE_IS_SHARED);
+        closes(3, 1);
+        pass(10 * SECOND);
+        assertThat(free(3)).isLessThan(12);
+    }
+
+    @Test
+    void whereWordsStopEachGoesByItselfAgain() {
+        for (Trials.Fault fault : List.of(Trials.Fault.NONE, Trials.Fault.WORDS_NEVER_END)) {
+            all.clear();
+            told = true;
+            fleet(8, fault);
+            closes(3, 5);
+            pass(5 * SECOND);
+            told = false;
+            pass(10 * SECOND);
+            assertThat(free(3) == 8).isEqualTo(fault == Trials.Fault.NONE);
+        }
+    }
+
+    @Test
+    void whenItIsWellAgainAllComeBackInSteps() {
+        int[] most = new int[2];
+        for (int i = 0; i < 2; i++) {
+            all.clear();
+            fleet(32, i == 0 ? Trials.Fault.NONE : Trials.Fault.ALL_AT_ONCE);
+            closes(3, 20);
+            pass(8 * SECOND);
+            One owner = all.stream().filter(o -> !o.withheld.contains(3L)).findFirst().orElseThrow();
+            owner.closed.remove(3L);
+            all.forEach(o -> o.led = 0);
+            int before = 0;
+            for (int step = 0; step < 100; step++) {
+                pass(PERIOD / 2);
+                int led = all.stream().mapToInt(o -> Math.min(1, o.led)).sum();
+                most[i] = Math.max(most[i], led - before);
+                before = led;
+            }
+            assertThat(before).isGreaterThan(25);
+        }
+        assertThat(most[0]).isLessThan(most[1]);
+    }
+
+    @Test
+    void oneThatLiesMovesNobodyAndASicknessOfMostEnginesMovesNoneThatIsWell() {
+        fleet(9, Trials.Fault.NONE);
+        for (long e = 0; e < ENGINES; e++) {
+            closes(e, 1);
+        }
+        pass(10 * SECOND);
+        assertThat(all.subList(1, 9)).allMatch(o -> o.withheld.isEmpty());
+        for (long e = 0; e < ENGINES; e++) {
+            closes(e, 5);
+        }
+        pass(10 * SECOND);
+        assertThat(all.subList(5, 9)).allMatch(o -> o.withheld.isEmpty());
+    }
+
+    @Test
+    void wordsThatAreSpoiltSayNothing() {
+        byte[] good = Words.write(List.of(new Words.Word(7, true, 5), new Words.Word(1L << 40, false, 0)));
+        assertThat(Words.read(good)).hasSize(2);
+        assertThat(Words.read(new byte[0])).isEmpty();
+        assertThat(Words.write(List.of())).isEmpty();
+        for (int i = 0; i < 20_000; i++) {
+            byte[] spoilt = good.clone();
+            spoilt[chance.nextInt(spoilt.length)] = (byte) chance.nextInt();
+            assertThat(Words.read(spoilt).size()).isLessThanOrEqualTo(Words.MOST);
+        }
+    }
+}
