--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -515,7 +515,7 @@
             boolean only = first && !e.runs(FIRST_RANK);
             boolean lone = e.flights.isEmpty() && (out == 0 || out + threads <= bounds)
                     || small && only && allowed.priorities() && top.quantile(0.5) < SLOW;
-            // One batch of the fleet's is spent on it, and the next: else all would wait until this manager has room.
+            // One batch of the fleet's is spent on it now: all would wait until this manager has room.
             boolean trial = e.triesForAll && e.health == Health.TRIAL;
             boolean fits = lone || trial || e.reserved + grant <= e.slice * warm
                     && (e.threads + threads <= e.bound * warm || only);
@@ -526,8 +526,8 @@
                 continue;
             }
             double free = (e.slice * warm - e.reserved) / (e.memory * POOL_SHARE * share);
-            double merit = (trial ? CROWDING : 0) + (fits ? 100 : 0) + Math.max(-20, Math.floor(free * ROOM_STEPS)) * 2
-                    + (nearby && e.zone == zone ? 1 : 0) + nearness(b, e, loadOrder)
+            double merit = (trial ? CROWDING : 0) + (fits ? 100 : 0)
+                    + Math.max(-20, Math.floor(free * ROOM_STEPS)) * 2 + (nearby && e.zone == zone ? 1 : 0) + nearness(b, e, loadOrder)
                     - (small ? CROWDING * crowd(now, e) : 0) - (e == b.last ? 50 : 0);
             if (merit > most) {
                 most = merit;
@@ -600,7 +600,7 @@
         return engines.containsKey(engine) ? engine(engine).heard : 0;
     }
 
-    /** Each batch that tries a sick engine is lost with it: of a large fleet one manager tries, the others follow. */
+    /** A batch that tries a sick engine is lost with it: of a large fleet one manager tries, the others follow. */
     @Override
     public void othersTry(long now, int engine, boolean others, boolean restIsOver) {
         engine(engine).othersTry = others;
@@ -623,7 +623,8 @@
         }
         // A trial costs one repeatable batch at most; a once-only one would be lost with it.
         // Who tries for all has lost some there before, which are out still: only its trial must be one.
-        boolean tried = e.triesForAll ? e.flights.stream().anyMatch(f -> f.sent >= e.restUntil) : !e.flights.isEmpty();
+        boolean tried = e.triesForAll ? e.flights.stream().anyMatch(f -> f.sent >= e.restUntil)
+                : !e.flights.isEmpty();
         if (e.health == Health.TRIAL && (tried || is.effect() != Effect.REPEATABLE)) {
             return false;
         }
--- a/src/main/java/firstage/overload/Trials.java
+++ b/src/main/java/firstage/overload/Trials.java
@@ -30,9 +30,7 @@
  * ever. Times are tenths of a millisecond.
  */
 public final class Trials {
-    private static final int SEVERAL = 3; // hold it closed before it is the engine,
-            or half of a small fleet: words of more
-    // come too late in a large one, and one or two may share a bad way
+    private static final int SEVERAL = 3; // hold it closed before it is the engine: one or two may share a bad way
     private static final long LEAST_FRESH = 30_000; // a word lasts: some rounds of a small fleet
     private static final double ROUNDS = 1.5; // and of a large one, in rounds in which each hears each
     private static final long TRY_EVERY = 20_000; // by the owner: a batch in two seconds there, whatever the fleet
