--- a/src/main/java/firstage/standin/Crowd.java
+++ b/src/main/java/firstage/standin/Crowd.java
@@ -250,7 +250,7 @@
         call.POST(HttpRequest.BodyPublishers.ofString((group.load() ? "INSERT INTO sales_" : "SELECT a FROM sales_")
                 + is.tables + ".orders"));
         ask(t, id, call.build(), POLL_TRIES, true);
-        // A manager that stands still can't know how long the batch lay there: it counts its time from when it reads it.
+        // One that stands still can't know how long the batch lay there: it counts its time from when it reads it.
         t.excuse(Math.max(0, stoppedUntil[m] - now));
         stage.calendar().in(patience + LAST_WAIT / 2, () -> judge(t));
         stage.calendar().in(patience + 2 * LAST_WAIT, () -> {
