--- a/src/main/java/firstage/app/Fleet.java
+++ b/src/main/java/firstage/app/Fleet.java
@@ -34,12 +34,7 @@
 
     /** Runs it; the exit code tells the verdict. */
     static int run(String[] args) {
-        CommandLine line = new CommandLine(new Fleet());
-        line.setExecutionExceptionHandler((fault, command, parsed) -> {
-            System.err.println("fleet: " + Main.oneLine(fault));
-            return FAULT;
-        });
-        return line.execute(args);
+        return Lines.run(new Fleet(), "fleet", args);
     }
 
     @Override
--- a/src/main/java/firstage/app/PeersView.java
+++ b/src/main/java/firstage/app/PeersView.java
@@ -14,7 +14,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.Callable;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -25,7 +24,6 @@
         exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:its view is agreed", "1:it is not",
             "2:it can't be reached, or the address can't be used"})
 final class PeersView implements Callable<Integer> {
-    private static final int FAULT = 2;
     private static final int ANSWER_MS = 400;
     private static final int TRIES = 5;
     private static final int MOST = 64 * 1024;
@@ -36,12 +34,7 @@
     private boolean json;
 
     static int run(String[] args) {
-        CommandLine line = new CommandLine(new PeersView());
-        line.setExecutionExceptionHandler((fault, command, parsed) -> {
-            System.err.println("peers: " + Main.oneLine(fault));
-            return FAULT;
-        });
-        return line.execute(args);
+        return Lines.run(new PeersView(), "peers", args);
     }
 
     @Override
--- a/src/main/java/firstage/app/Yard.java
+++ b/src/main/java/firstage/app/Yard.java
@@ -39,12 +39,7 @@
 
     /** Runs it; the exit code tells the verdict. */
     static int run(String[] args) {
-        CommandLine line = new CommandLine(new Yard());
-        line.setExecutionExceptionHandler((fault, command, parsed) -> {
-            System.err.println("yard: " + Main.oneLine(fault));
-            return FAULT;
-        });
-        return line.execute(args);
+        return Lines.run(new Yard(), "yard", args);
     }
 
     @Override
--- a/src/test/java/firstage/yard/YardIT.java
+++ b/src/test/java/firstage/yard/YardIT.java
@@ -77,6 +77,28 @@
         assertThat(told(0, "\"is\":\"gone\"")).isEmpty();
     }
 
+    @Test
+    void whatAYardThatWasKilledLeftIsFoundNamedAndEnded() throws Exception {
+        Process yard = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-jar",
+                "target/firstage.jar", "yard", "run", "deploy/yard/calm.toml", "--out", folder.toString())
+                .redirectErrorStream(true).redirectOutput(folder.resolve("out").toFile()).start();
+        List<ProcessHandle> managers = List.of();
+        while (managers.size() < 4) {
+            Thread.sleep(50);
+            assertThat(yard.isAlive()).isTrue();
+            managers = yard.descendants().toList();
+        }
+        // Its note is written just after each start.
+        Thread.sleep(500);
+        yard.destroyForcibly().waitFor();
+        assertThat(managers).allMatch(ProcessHandle::isAlive);
+        List<String> ended = Leftovers.sweep();
+        for (ProcessHandle p : managers) {
+            assertThat(ended).anyMatch(line -> line.startsWith("ended process " + p.pid() + ","));
+            p.onExit().get(10, java.util.concurrent.TimeUnit.SECONDS);
+        }
+    }
+
     @Test
     void whoDiesAtItsStartIsNamedWithItsLastWords() {
         assertThat(org.assertj.core.api.Assertions.catchThrowable(() -> YardRun.play(new YardRun.Order(
