--- a/src/main/java/firstage/fleet/RuleWatch.java
+++ b/src/main/java/firstage/fleet/RuleWatch.java
@@ -136,8 +136,13 @@
     }
 
     public void dispatched(long now, Try t, int engine) {
+        dispatched(now, t, engine, false);
+    }
+
+    /** {@code held}: the way may have kept it back; when it was sent is not known, only that it came now. */
+    public void dispatched(long now, Try t, int engine, boolean held) {
         Effect effect = plan.groups().get(t.is.group).effect();
-        if (t.answers > 0) {
+        if (t.answers > 0 && !held) {
             breaks(now, 1, t, "sent after its answer");
         }
         if (effect == Effect.ONCE_ONLY && (t.mayHaveRun || t.out > 0)) {
@@ -148,7 +153,7 @@
             breaks(now, 2, t, "sent again past its window");
         }
         Long drain = drains.get(t.manager).get(engine);
-        if (drain != null && now > drain + plan.rules().drainGrace() + sent) {
+        if (drain != null && !held && now > drain + plan.rules().drainGrace() + sent) {
             breaks(now, 3, t, "sent to engine " + engine + ", whose drain was told " + (now - drain) / 10
                     + " ms before");
         }
--- a/src/main/java/firstage/standin/EngineServer.java
+++ b/src/main/java/firstage/standin/EngineServer.java
@@ -50,6 +50,9 @@
         void dispatched(Try t, int engine, boolean further);
 
         void probed(int engine);
+
+        /** Whether the way from this manager to this engine may have kept something back of late. */
+        boolean heldBack(int manager, int engine);
     }
 
     private final class Statement implements EngineModel.Listener {
@@ -284,7 +287,7 @@
         }
         boolean further = t.sent();
         witness.dispatched(t, number, further);
-        rules.dispatched(stage.now(), t, number);
+        rules.dispatched(stage.now(), t, number, witness.heldBack(t.manager, number));
         Statement s = new Statement(id, t);
         statements.put(id, s);
         double grant = Double.parseDouble(header(x, GRANT, "0"));
--- a/src/main/java/firstage/standin/Way.java
+++ b/src/main/java/firstage/standin/Way.java
@@ -12,6 +12,7 @@
     private volatile boolean cut;
     private volatile double loss;
     private volatile long delay;
+    private volatile long harmedAt = Long.MIN_VALUE / 4;
 
     Way(RandomGenerator chance) {
         this.chance = chance;
@@ -20,16 +21,24 @@
     /** Nothing passes. */
     public void cut(boolean now) {
         cut = now;
+        harmedAt = System.nanoTime() / 100_000;
     }
 
     /** Datagrams are lost with this chance. */
     public void loss(double share) {
         loss = share;
+        harmedAt = System.nanoTime() / 100_000;
     }
 
     /** Everything comes later by this and up to as much again; tenths of a millisecond. */
     public void delay(long by) {
         delay = by;
+        harmedAt = System.nanoTime() / 100_000;
+    }
+
+    /** Whether it was harmed or mended within this; tenths of a millisecond. */
+    public boolean harmedWithin(long time) {
+        return cut || loss > 0 || delay > 0 || System.nanoTime() / 100_000 - harmedAt < time;
     }
 
     boolean isCut() {
--- a/src/main/java/firstage/yard/YardRun.java
+++ b/src/main/java/firstage/yard/YardRun.java
@@ -40,6 +40,8 @@
     private static final long SLACK = 1_500;
     /** A statement is seen so much later than it was sent, an answer than it was given. */
     private static final long SEEN_LATER = 1_000;
+    /** What a way kept back comes so soon after it is mended; tenths of a millisecond. */
+    private static final long HELD_BACK = 20_000;
     private static final int AT_ONCE = 8;
     private static final double VOID_99TH_MS = 25;
     private static final int DRAINED_DOWN = 10_000;
@@ -476,6 +478,11 @@
                 further ? 1 : 0);
     }
 
+    @Override
+    public boolean heldBack(int manager, int engine) {
+        return toEngine[manager][engine].harmedWithin(HELD_BACK);
+    }
+
     @Override
     public void probed(int engine) {
         recording.add(since(), "probes", 1);
