A stopped manager takes the stop off the time of what lay there meanwhile (with peers)

Seen in the yard's pauses: batches that lay in a stopped process were counted from their reading; followed 1089 and 1815 of manager 5 and 4 (asked 14366 and 24100 ms, stops 14005 to 15005 and 24014 to 25008), answered 195 and 332 ms after their clients' limit.

--- a/src/main/java/firstage/net/Node.java
+++ b/src/main/java/firstage/net/Node.java
@@ -233,6 +233,11 @@
         }
     }
 
+    @Override
+    public long stoodStill() {
+        return peers == null ? 0 : peers.stoodStill();
+    }
+
     private void othersTry(long engine, boolean others, boolean restIsOver) {
         counters.count(others ? "trials left to others" : "trials taken back");
         int index = ids.find(engine);
--- a/src/main/java/firstage/net/Tidings.java
+++ b/src/main/java/firstage/net/Tidings.java
@@ -12,6 +12,9 @@
     /** A batch was taken whole; {@code key} is null without one. */
     void taken(Exchange x, int group, int customer, String key, long estimate, int memoryMb, int tables);
 
+    /** How long this thread may have stood still before this moment; 0 where it surely ran, or nobody knows. */
+    long stoodStill();
+
     /** The client left, or gave up. */
     void left(Exchange x);
 
--- a/src/main/java/firstage/net/clients/ClientDoor.java
+++ b/src/main/java/firstage/net/clients/ClientDoor.java
@@ -437,7 +437,10 @@
         } else {
             ids.add(id);
             PendingCall call = new PendingCall(this, id, NEWS + taken++ + "-" + id);
-            Exchange batch = new Exchange(id, group, statement, now + (long) (allow * 10), call);
+            // What lay there while the process was stopped has that much less time: counted from when it is read, its
+            // answer would come after its client has gone.
+            long notAfter = now + (long) (allow * 10) - tidings.stoodStill();
+            Exchange batch = new Exchange(id, group, statement, notAfter, call);
             batch.connectionAge = callers.age(channel(x));
             pending.put(call.path(), call);
             kept(statement.length);
--- a/src/main/java/firstage/net/members/Peers.java
+++ b/src/main/java/firstage/net/members/Peers.java
@@ -40,6 +40,10 @@
     private static final Logger LOG = Logger.getLogger(Peers.class.getName());
     private static final int TICK_MS = 20;
     private static final int MOST = 1_200;
+    /** Tenths of a millisecond: three ticks; less is a busy machine, not a stop. */
+    private static final long STILL = 600;
+    /** What lay there during a stop is read within this after it. */
+    private static final long READS = 1_000;
     private static final int MOST_A_LOOK = 64;
     private final PeerList list;
     private final Clock clock;
@@ -53,6 +57,9 @@
     private final SocketAddressBuffer from = new SocketAddressBuffer();
     private MulticastMessageChannel channel;
     private boolean closed;
+    private long tickedAt;
+    private long wokeAt = Long.MIN_VALUE / 4;
+    private long stoppedFor;
 
     /** {@code all}: how many managers the settings tell of; {@code started}: Unix ms, the number of this life. */
     public Peers(PeerList list, int all, long seed, long started, XnioIoThread io, Clock clock, Counters counters,
@@ -87,8 +94,21 @@
         return leases.share(clock.now());
     }
 
+    /** How long this process was stopped just now: since its last tick, or until the one that came late. */
+    public long stoodStill() {
+        long now = clock.now();
+        long since = tickedAt == 0 ? 0 : now - tickedAt;
+        return Math.max(since > STILL ? since : 0, now - wokeAt < READS ? stoppedFor : 0);
+    }
+
     private void tick() {
         if (!closed) {
+            long now = clock.now();
+            if (tickedAt > 0 && now - tickedAt > STILL) {
+                wokeAt = now;
+                stoppedFor = now - tickedAt;
+            }
+            tickedAt = now;
             members.tick(clock.now());
             io.executeAfter(this::tick, TICK_MS, TimeUnit.MILLISECONDS);
         }
--- a/src/main/java/firstage/yard/YardRun.java
+++ b/src/main/java/firstage/yard/YardRun.java
@@ -50,7 +50,7 @@
     private static final double QUIET = 0.9;
     private static final List<String> OWN = List.of("further a first", "retries a batch", "probes an engine and s",
             "lost",
-            "quiet after s", "processor s a manager", "late 99th ms", "late most ms");
+            "late", "quiet after s", "processor s a manager", "late 99th ms", "late most ms");
 
     /** What is to be played. {@code jar}: of the program; {@code peers}: managers are told of each other. */
     public record Order(FleetPlan plan, long seed, Path folder, Path jar, String run, boolean peers,
@@ -522,6 +522,7 @@
         figures.put("retries a batch", recording.sum("client retries") / Math.max(1, recording.sum("tries")));
         figures.put("probes an engine and s", recording.sum("probes") / plan.engines().count() / seconds);
         figures.put("lost", recording.sum("lost"));
+        figures.put("late", recording.sum("late"));
         figures.put("quiet after s", quietAfter());
         figures.put("processor s a manager", processor / meant.length);
         figures.put("late 99th ms", stage.late().getValueAtPercentile(99) / 1e3);
--- a/src/test/java/firstage/members/LeasesTest.java
+++ b/src/test/java/firstage/members/LeasesTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -87,9 +88,8 @@
 
     /** The most that is in use in any order of so many events; the last of them are an answer to each. */
     private static double worst(int depth, Leases.Fault fault) {
-        double worst = 0;
-        int orders = 1 << 3 * depth;
-        for (int order = 0; order < orders; order++) {
+        return IntStream.range(0, 1 << 3 * depth).parallel().mapToDouble(order -> {
+            double worst = 0;
             Group g = new Group(3, fault);
             for (int m = 0; m < 3; m++) {
                 g.asks(m, (m + 1) % 3, 0);
@@ -98,13 +98,14 @@
                 play(g, order >> 3 * i & 7);
                 worst = Math.max(worst, g.sum());
             }
-        }
-        return worst;
+            return worst;
+        }).max().orElse(0);
     }
 
+    /** Eight on demand (-Dfirstage.leases=8): some minutes. */
     @Test
     void amongThreeNoOrderOfSixEventsPassesTheWhole() {
-        assertThat(worst(6, Leases.Fault.NONE)).isLessThanOrEqualTo(1 + 1e-9);
+        assertThat(worst(Integer.getInteger("firstage.leases", 6), Leases.Fault.NONE)).isLessThanOrEqualTo(1 + 1e-9);
     }
 
     /** Random plays of four to nine: answers lost, late and doubled, cuts, stops, new lives. */
