One way to begin a doubt; what nobody reads is out; a test that run names no peers

Read over: View.like, FleetPlan.withManagers, Relay.pieces, Peer.ackedAt and a counter of MembersField had no reader; the start of a doubt stood three times in Members. Behaviour as it was. Unit tests of members, leases, trials and arrows green.

--- a/src/main/java/firstage/fleet/FleetPlan.java
+++ b/src/main/java/firstage/fleet/FleetPlan.java
@@ -15,14 +15,6 @@
         return number % zones.size();
     }
 
-    /** Another number of managers, all else the same. */
-    public FleetPlan withManagers(int count) {
-        Managers m = new Managers(count, managers.unequal, managers.listDelay, managers.probes, managers.secondCopies,
-                managers.callOff, managers.dispatches, managers.restart);
-        return new FleetPlan(name, length, m, engines, net, clients, rules, goal, groups, customers, traffic, troubles,
-                zones, faults, expects);
-    }
-
     /**
      * What is broken between processes: {@code who} it strikes, for cuts, loss and delay on the ways from {@code who}
      * to
--- a/src/main/java/firstage/lab/MembersField.java
+++ b/src/main/java/firstage/lab/MembersField.java
@@ -36,7 +36,6 @@
         private int life;
         private int views;
         private long bytes;
-        private long gone;
 
         private Place(int number) {
             this.number = number;
@@ -149,7 +148,6 @@
         public void note(long now, String what, String who, String why) {
             if (what.equals("gone")) {
                 int whom = Integer.parseInt(who.substring(1));
-                gone++;
                 if (places.get(whom).up) {
                     falselyGone.add(now / 10 + " ms: m" + number + " holds m" + whom + " for gone: " + why);
                 }
--- a/src/main/java/firstage/members/Members.java
+++ b/src/main/java/firstage/members/Members.java
@@ -98,7 +98,6 @@
         private Entry is;
         private int seed = -1;
         private long heardAt = Long.MIN_VALUE / 4;
-        private long ackedAt = Long.MIN_VALUE / 4;
         private long vouchedAt = Long.MIN_VALUE / 4;
         private long hearsUsAgo = -1;
         private long view;
@@ -264,8 +263,7 @@
             if (p.is.standing() == Standing.DOUBTED && p.doubtedAt + GONE_AFTER <= now) {
                 if (alone(now)) {
                     // Nobody answers: it is this manager that is cut off.
-                    doubts.add(Map.entry(now + GONE_AFTER, due.getValue()));
-                    p.doubtedAt = now;
+                    doubt(now, p);
                 } else {
                     on(now, p, Event.TIMED, p.is.with(Standing.GONE), "not heard of again");
                 }
@@ -295,12 +293,9 @@
         answeredAt = Math.min(answeredAt, now - ALONE - 1);
         for (Peer p : peers.values()) {
             p.heardAt += gap;
-            p.doubtedAt = p.is.standing() == Standing.DOUBTED ? now : p.doubtedAt;
         }
-        List<String> doubted = peers.values().stream().filter(p -> p.is.standing() == Standing.DOUBTED)
-                .map(p -> p.is.name()).toList();
         doubts.clear();
-        doubted.forEach(n -> doubts.add(Map.entry(now + GONE_AFTER, n)));
+        peers.values().stream().filter(p -> p.is.standing() == Standing.DOUBTED).forEach(p -> doubt(now, p));
         me = me.with(me.incarnation() + 1, me.standing());
         rumour(me.name());
         carrier.note(now, "woke", me.name(), "stopped for " + gap / 10 + " ms");
@@ -579,7 +574,6 @@
         }
         answeredAt = now;
         strain = Math.max(0, strain - 1);
-        p.ackedAt = now;
         leases.answered(now, mine.sent, p.is.name(), m.grants(), m.lent());
         Peer asker = mine.asker == null ? null : peers.get(mine.asker);
         if (asker != null) {
@@ -597,8 +591,7 @@
         p.is = e;
         peers.put(e.name(), p);
         if (e.standing() == Standing.DOUBTED) {
-            p.doubtedAt = now;
-            doubts.add(Map.entry(now + GONE_AFTER, e.name()));
+            doubt(now, p);
         }
         rumour(e.name());
         stirred(now);
@@ -606,6 +599,12 @@
         return p;
     }
 
+    /** Its time to deny begins, or begins anew. */
+    private void doubt(long now, Peer p) {
+        p.doubtedAt = now;
+        doubts.add(Map.entry(now + GONE_AFTER, p.is.name()));
+    }
+
     private void told(long now, Entry e) {
         if (e.name().equals(me.name())) {
             boolean denies = e.standing() != Standing.HERE && e.incarnation() >= me.incarnation() && !leaving
@@ -649,8 +648,7 @@
                     case NONE -> { }
                     case TELL -> rumour(e.name());
                     case DOUBT -> {
-                        p.doubtedAt = now;
-                        doubts.add(Map.entry(now + GONE_AFTER, e.name()));
+                        doubt(now, p);
                         rumour(e.name());
                     }
                     case RETURN -> {
--- a/src/main/java/firstage/members/View.java
+++ b/src/main/java/firstage/members/View.java
@@ -4,8 +4,4 @@
 
 /** Who is here: a number that only grows, a hash of what it says, the names in order. */
 public record View(long number, long hash, List<String> names) {
-    /** Whether two say the same. */
-    public boolean like(View other) {
-        return hash == other.hash;
-    }
 }
--- a/src/main/java/firstage/standin/Relay.java
+++ b/src/main/java/firstage/standin/Relay.java
@@ -44,7 +44,6 @@
     private final List<Door> doors = new ArrayList<>();
     private final Thread thread;
     private volatile boolean closed;
-    private volatile long pieces;
     private volatile Exception fault;
 
     private record Timed(long due, Runnable what) {
@@ -69,11 +68,6 @@
         return new Way(chance);
     }
 
-    /** Pieces and datagrams carried so far. */
-    public long pieces() {
-        return pieces;
-    }
-
     private static long now() {
         return System.nanoTime() / 100_000;
     }
@@ -336,7 +330,6 @@
             if (n < 0) {
                 eof = true;
             } else if (n > 0) {
-                pieces++;
                 ByteBuffer copy = ByteBuffer.allocate(n).put(shared.flip()).flip();
                 long due = Math.max(latest, now() + way.later(false));
                 latest = due;
@@ -430,7 +423,6 @@
 
     private void send(DatagramChannel out, ByteBuffer bytes, SocketAddress to) {
         try {
-            pieces++;
             out.send(bytes, to);
         } catch (IOException nobody) {
             // As on any network.
--- a/src/test/java/firstage/net/PeersIT.java
+++ b/src/test/java/firstage/net/PeersIT.java
@@ -38,6 +38,12 @@
                 "dataformat.cbor", "org.tomlj", "picocli", "firstage.yard", "firstage.fleet");
     }
 
+    @Test
+    void whatThePlatformRunsNamesNoPeers() throws IOException {
+        assertThat(Files.readAllLines(Path.of("deploy", "balancer.toml"))).filteredOn(line -> line.startsWith("run = "))
+                .hasSize(1).allMatch(line -> line.contains(" serve\"") && !line.contains("--peers"));
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "fleet = 'a'~listen = '127.0.0.1:9'~[[peer]]~address = 'x'|:3: peer.address: 'x' is no address",
