--- a/src/main/java/firstage/door/WorkloadManager.java
+++ b/src/main/java/firstage/door/WorkloadManager.java
@@ -21,8 +21,7 @@
 
     /**
      * The part of each engine that it may use now: its own share by the settings, less while it hears too few of the
-     * others,
-     * more where those have given it up. Where nobody shares, it is never told.
+     * others, more where those have given it up. Where nobody shares, it is never told.
      */
     default void allotted(long now, double share) {
     }
@@ -42,9 +41,8 @@
     }
 
     /**
-     * Others hold this engine for sick and try it, and it is to keep away; or no longer. Where {@code restIsOver},
-     * they found it well: it may be tried
-     * now. Where nobody shares, it is never told.
+     * Others hold this engine for sick and try it, and it is to keep away; or no longer. Where {@code restIsOver}, it
+     * may be tried now: they found it well, or this manager tries it for all. Where nobody shares, it is never told.
      */
     default void othersTry(long now, int engine, boolean others, boolean restIsOver) {
     }
--- a/src/main/java/firstage/fleet/Choice.java
+++ b/src/main/java/firstage/fleet/Choice.java
@@ -12,8 +12,7 @@
  * What decides in a run: the real decisions, or a textbook policy. {@code bounds} tells the decisions that each
  * engine has
  * so many times its cores and memory, which opens their bounds as a wrong setting would. {@code peers}: managers know
- * each
- * other, by the truth, and tell each other what takes its time on its way; {@code trials} puts a fault back.
+ * each other, by the truth, and tell each other what takes its time on its way; {@code trials} puts a fault back.
  */
 public record Choice(String name, PlainPolicy.Kind plain, double bounds, boolean peers, Trials.Fault trials) {
     private static final String BRAIN = "brain";
--- a/src/main/java/firstage/fleet/FleetFile.java
+++ b/src/main/java/firstage/fleet/FleetFile.java
@@ -28,12 +28,14 @@
             throw new FleetFault(error.position().line(), firstLine(error.getMessage()));
         }
         Section top = new Section(toml, "", 1);
-        FleetPlan plan = new FleetPlan(top.text("name", "fleet"), top.time("length", null),
-                managers(top.table("managers")),
-                engines(top.table("engines")), net(top.table("net")), clients(top.table("clients")),
-                rules(top.table("rules")), goal(top.table("goal")), groups(top.tables("group")),
-                customers(top.tables("customer")), traffic(top.table("traffic")), troubles(top), zones(top),
-                faults(top), expects(top));
+        FleetPlan.Managers managers = managers(top.table("managers"));
+        FleetPlan.Engines engines = engines(top.table("engines"));
+        List<String> zones = zones(top);
+        FleetPlan plan = new FleetPlan(top.text("name", "fleet"), top.time("length", null), managers, engines,
+                net(top.table("net")), clients(top.table("clients")), rules(top.table("rules")),
+                goal(top.table("goal")), groups(top.tables("group")), customers(top.tables("customer")),
+                traffic(top.table("traffic")), troubles(top), zones,
+                faults(top, zones, managers.count(), engines.count()), expects(top));
         top.done();
         return plan;
     }
@@ -51,11 +53,8 @@
         return zones;
     }
 
-    private static List<FleetPlan.Fault> faults(Section top) {
+    private static List<FleetPlan.Fault> faults(Section top, List<String> zones, int managers, int engines) {
         List<FleetPlan.Fault> faults = new ArrayList<>();
-        List<String> zones = zones(top);
-        int managers = top.table("managers").whole("count", 1, 1_000, null);
-        int engines = top.table("engines").whole("count", 1, 10_000, null);
         List<String> kinds = Arrays.stream(FleetPlan.Fault.Kind.values())
                 .map(k -> k.name().toLowerCase(Locale.ROOT)).toList();
         for (Section s : top.tables("fault")) {
--- a/src/main/java/firstage/standin/Crowd.java
+++ b/src/main/java/firstage/standin/Crowd.java
@@ -86,6 +86,7 @@
     });
     private final HttpClient http;
     private double boost = 1;
+    private long begin;
     private long until;
     private long ids;
     private final long origin;
@@ -129,8 +130,6 @@
         next();
     }
 
-    private long begin;
-
     public void boost(double times) {
         boost = times;
     }
