The coordinator's list: a second connection where the first is slow, log lines that trace a drain

The break looked like 2 s without news at one manager (18 requests from 0.62 s on). Changed: a connection that is not up after 150 ms gets a second beside it (a lost first packet is sent again after 1 s, and the old code gave up at just that time); each change of the list is a log line; an engine that a whole list leaves out is leaving also for statements that wait for a connection. Not shown to be the cause.

--- a/src/main/java/firstage/app/Serve.java
+++ b/src/main/java/firstage/app/Serve.java
@@ -110,8 +110,10 @@
         while (true) {
             hangUps.acquireUninterruptibly();
             hangUps.drainPermits();
+            long since = System.nanoTime();
             try {
                 Assignment next = read();
+                LOG.info(() -> "read anew in " + (System.nanoTime() - since) / 1_000_000 + " ms");
                 if (next.name().equals(first.name()) && next.listen().equals(first.listen())) {
                     node.told(next);
                 } else {
--- a/src/main/java/firstage/net/engines/Engines.java
+++ b/src/main/java/firstage/net/engines/Engines.java
@@ -95,6 +95,8 @@
     public void keepOnly(List<Integer> indices) {
         for (int i = 0; i < links.size(); i++) {
             if (links.get(i) != null && !indices.contains(i)) {
+                // Also what waits for a connection there is not written any more.
+                links.get(i).leaving();
                 links.get(i).close();
             }
         }
--- a/src/main/java/firstage/net/list/Follower.java
+++ b/src/main/java/firstage/net/list/Follower.java
@@ -27,26 +27,35 @@
     /** An empty frame follows each second: two missing, and another connection is tried. News is due in 7 s. */
     private static final long MUTE_MS = 2_300;
     private static final long CONNECT_MS = 1_000;
+    /** A connection comes up in a few ms; where its first packet is lost the system sends it again after 1 s only. */
+    private static final long SECOND_TRY_MS = 150;
     private static final long AGAIN_MS = 200;
+    /** Engines that a line of the log names. */
+    private static final int MOST_NAMED = 8;
     private final XnioIoThread io;
     private final Counters counters;
     private final Tidings tidings;
     private final Records records;
+    private final Clock clock;
     private InetSocketAddress coordinator;
+    /** When the configuration in force asked for its coordinator: for the log. */
+    private long since;
+    private boolean heard;
     private final ByteBuffer buffer = ByteBuffer.allocate(16 * 1024);
     private long last;
     private StreamConnection channel;
     private Frames frames;
     private XnioExecutor.Key mute;
     private XnioExecutor.Key retry;
-    /** Counts the tries to connect: only the last may come up. */
-    private long tries;
+    /** Counts what was given up: only a try of the present count may come up, and only the first of those. */
+    private long round;
     private boolean closed;
 
     public Follower(XnioIoThread io, Clock clock, Counters counters, Tidings tidings, Assignment assignment) {
         this.io = io;
         this.counters = counters;
         this.tidings = tidings;
+        this.clock = clock;
         records = new Records(clock, assignment.settings());
     }
 
@@ -56,6 +65,8 @@
      * is left at once. The numbers continue.
      */
     public void follow(Assignment assignment) {
+        since = clock.now();
+        heard = false;
         try {
             if (assignment.known().get("updates") instanceof List<?> updates) {
                 for (Object update : updates) {
@@ -88,18 +99,33 @@
         if (closed || coordinator == null) {
             return;
         }
-        long mine = ++tries;
+        open(round, 1);
+    }
+
+    /**
+     * Opens a connection, and another beside it where the first is slow to come up. The harm prevented: a first
+     * packet that is lost is sent again after a second, and for all of it this manager sends to engines that were
+     * told to drain.
+     */
+    private void open(long mine, int at) {
+        if (mine != round || channel != null) {
+            return;
+        }
         IoFuture<? extends StreamConnection> coming = io.openStreamConnection(coordinator, null, OptionMap.EMPTY);
         XnioExecutor.Key late = io.executeAfter(coming::cancel, CONNECT_MS, TimeUnit.MILLISECONDS);
+        XnioExecutor.Key second = at > 1 ? null
+                : io.executeAfter(() -> open(mine, at + 1), SECOND_TRY_MS, TimeUnit.MILLISECONDS);
         coming.addNotifier((future, none) -> io.execute(() -> {
             late.remove();
             boolean done = future.getStatus() == IoFuture.Status.DONE;
-            if (mine != tries || closed) {
-                // Another coordinator is followed meanwhile.
+            if (mine != round || closed || channel != null) {
+                // Another coordinator is followed meanwhile, or the other try was the first.
                 IoUtils.safeClose(done ? result(future) : null);
             } else if (done) {
                 up(result(future));
-            } else {
+            } else if (at == 1) {
+                second.remove();
+                LOG.info(() -> "no connection to the coordinator at " + coordinator + ": " + future.getStatus());
                 again();
             }
         }), null);
@@ -114,7 +140,12 @@
     }
 
     private void again() {
-        retry = io.executeAfter(this::connect, AGAIN_MS, TimeUnit.MILLISECONDS);
+        long mine = ++round;
+        retry = io.executeAfter(() -> {
+            if (mine == round) {
+                connect();
+            }
+        }, AGAIN_MS, TimeUnit.MILLISECONDS);
     }
 
     private void up(StreamConnection connection) {
@@ -143,6 +174,7 @@
     }
 
     private void lost() {
+        LOG.info(() -> "the connection to the coordinator at " + coordinator + " is lost after event " + last);
         leave();
         counters.count("connections to the coordinator lost");
         again();
@@ -150,7 +182,7 @@
 
     /** Gives up the connection, and what was to happen on it. */
     private void leave() {
-        tries++;
+        round++;
         for (XnioExecutor.Key due : Arrays.asList(mute, retry)) {
             if (due != null) {
                 due.remove();
@@ -175,6 +207,12 @@
                     return;
                 }
                 listen();
+                if (!heard) {
+                    heard = true;
+                    long tenths = clock.now() - since;
+                    LOG.info(() -> "the coordinator at " + coordinator + " is heard " + tenths / 10
+                            + " ms after the configuration was taken");
+                }
                 for (Frames.Frame frame : frames.take(buffer.flip())) {
                     take(frame);
                 }
@@ -193,7 +231,12 @@
         if (frame.kind() > 2) {
             throw new IOException("a frame of kind " + frame.kind());
         }
-        tidings.listed(frame.kind() == 1 ? Kind.WHOLE : Kind.CHANGES, records.read(frame.payload()));
+        List<Tidings.Listed> entries = records.read(frame.payload());
+        // Few in a run, and what a drain that was not kept is traced by.
+        LOG.info(() -> "event " + frame.number() + " tells of " + entries.stream()
+                .map(e -> e.id() + " " + e.standing()).limit(MOST_NAMED).toList()
+                + (entries.size() > MOST_NAMED ? " and " + (entries.size() - MOST_NAMED) + " more" : ""));
+        tidings.listed(frame.kind() == 1 ? Kind.WHOLE : Kind.CHANGES, entries);
         last = frame.number();
         counters.count("changes of the list");
     }
