--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -150,6 +150,9 @@
     private boolean subscribe;
     private boolean stirred;
     private long closesAt = Long.MAX_VALUE;
+    private final Demand demand = new Demand();
+    private int cut;
+    private double cutPart = 1;
 
     public Brain(Deployment deployment, Host host) {
         this.host = host;
@@ -201,8 +204,11 @@
         batches.put(arrival.batch(), b);
         stirred = true;
         taken.add(now, 1);
-        if (b.key >= 0 && arrival.turnUnknown()) {
-            // Run in the wrong turn it would break its key's order unseen; not run, it harms nobody.
+        int band = Demand.band(is.utility(), b.expectedWork(), b.overShare);
+        demand.came(band, b.expectedWork());
+        if (b.key >= 0 && arrival.turnUnknown() || band < cut || band == cut && chance.nextDouble() >= cutPart) {
+            // Run in the wrong turn it would break its key's order unseen; not run, it harms nobody. And what the
+            // fleet has no room for is told so at once: held, it would come late and take the room of what pays.
             giveUp(b);
         } else {
             held.put(b.order, b);
@@ -307,6 +313,17 @@
         stirred = true;
     }
 
+    @Override
+    public Demand demand() {
+        return demand;
+    }
+
+    @Override
+    public void cut(long now, int band, double part) {
+        cut = band;
+        cutPart = part;
+    }
+
     @Override
     public void closing(long now, long endsAt) {
         closesAt = endsAt;
@@ -404,6 +421,7 @@
         nextRelease = now + RELEASE;
         crowded = false;
         int room = room();
+        double waits = 0;
         Map<Long, Double> failed = new HashMap<>();
         for (Batch b : held.isEmpty() ? List.<Batch>of() : new ArrayList<>(held.values())) {
             boolean mayGo = now < lastMoment(b) && myTurn(now, b);
@@ -413,6 +431,7 @@
             boolean vain = like >= 0 && failed.getOrDefault(like, Double.MAX_VALUE) <= b.memoryFigure();
             Engine e = mayGo && !vain ? choose(now, b) : null;
             crowded |= mayGo && e == null;
+            waits += mayGo && e == null && b.dispatches == 0 ? b.expectedWork() : 0;
             if (e == null && like >= 0) {
                 failed.merge(like, b.memoryFigure(), Math::min);
             }
@@ -426,6 +445,7 @@
                 }
             }
         }
+        demand.waits(waits);
     }
 
     private int room() {
@@ -452,6 +472,7 @@
 
     private void send(long now, Batch b, Engine e) {
         held.remove(b.order);
+        demand.sent(b.dispatches == 0 ? b.expectedWork() : 0);
         Flight f = new Flight(b, e, b.dispatches++, now, grant(b, e), priority(b));
         further.add(now, f.number > 0 ? 1 : 0);
         if (allowed.grants() || allowed.priorities()) {
--- a/src/main/java/firstage/door/WorkloadManager.java
+++ b/src/main/java/firstage/door/WorkloadManager.java
@@ -47,6 +47,18 @@
     default void othersTry(long now, int engine, boolean others, boolean restIsOver) {
     }
 
+    /** What it was asked for and what it sent; null where it keeps no count. */
+    default Demand demand() {
+        return null;
+    }
+
+    /**
+     * The fleet has no room for what is worth less: batches of a lower {@link Demand#band} are to be answered at once,
+     * and of those in it all but this part. Where nobody shares, it is never told.
+     */
+    default void cut(long now, int band, double part) {
+    }
+
     /** It takes batches for a short while yet, and what has no answer at {@code endsAt} never gets one. */
     void closing(long now, long endsAt);
 
--- a/src/main/java/firstage/fleet/ManagerModel.java
+++ b/src/main/java/firstage/fleet/ManagerModel.java
@@ -10,6 +10,7 @@
 import firstage.door.Report;
 import firstage.door.WorkloadManager;
 import firstage.fleet.EngineModel.Job;
+import firstage.overload.Level;
 import firstage.overload.Trials;
 import firstage.overload.Words;
 import firstage.setup.Indices;
@@ -130,6 +131,7 @@
     private boolean up;
     private boolean turnDue;
     private Trials trials;
+    private Level level;
     private long reportsLater;
     private final Set<Open> open = new LinkedHashSet<>();
     /** The list as it last had it: by engine, standing and start. */
@@ -168,6 +170,8 @@
                 manager.othersTry(calendar.now(), (int) mark, others, over);
                 stir();
             }, choice.trials());
+            long goal = plan.groups().stream().mapToLong(FleetPlan.Group::goal).min().orElse(1);
+            level = new Level(name(), goal, (band, part) -> manager.cut(calendar.now(), band, part));
             look(life);
         }
         list.values().forEach(e -> rules.toldStart(number, e.engine(), e.since()));
@@ -186,6 +190,8 @@
                         manager.heardAt(e.number()));
             }
             trials.look(calendar.now());
+            level.measure(calendar.now(), manager.demand());
+            level.look(calendar.now());
             calendar.in(LOOK, () -> look(mine));
         }
     }
@@ -194,9 +200,11 @@
     void tells(ManagerModel other) {
         if (trials != null && up) {
             List<Words.Word> words = Words.read(Words.write(trials.words(calendar.now())));
+            List<Level.Row> rows = level.rows(calendar.now());
             calendar.in(way(), () -> {
                 if (other.up && other.trials != null) {
                     other.trials.heard(calendar.now(), name(), words);
+                    other.level.heard(calendar.now(), rows);
                 }
             });
         }
@@ -206,6 +214,7 @@
     void viewed(List<String> names) {
         if (trials != null) {
             trials.viewed(names);
+            level.viewed(names);
         }
     }
 
