--- a/src/main/java/firstage/Brain.java
+++ b/src/main/java/firstage/Brain.java
@@ -429,7 +429,7 @@
         double waits = 0;
         Map<Long, Double> failed = new HashMap<>();
         for (Batch b : held.isEmpty() ? List.<Batch>of() : new ArrayList<>(held.values())) {
-            // What the fleet has no room for is told so at once: held, it would come late, in the room of what pays.
+            // What the fleet has no room for is told so at once: held, it would only be late later.
             boolean below = b.dispatches == 0 && b.band < cut;
             boolean mayGo = !below && now < lastMoment(b) && myTurn(now, b);
             boolean byTables = b.group.is.yieldsToLoads() || b.group.is.load();
--- a/src/test/java/firstage/net/ServeIT.java
+++ b/src/test/java/firstage/net/ServeIT.java
@@ -593,6 +593,8 @@
     @ParameterizedTest
     @CsvSource({"'{\"listen\":'", "'{}'", "'{\"settings\":{}}'", "'{\"settings\":{},\"listen\":\"nowhere\"}'"})
     void aBrokenConfigurationEndsTheProgramWithOneLine(String broken) throws Exception {
+        // It would write lines of its own to the log.
+        program.destroyForcibly().waitFor();
         Process failed = launch(broken);
         assertThat(failed.waitFor()).isEqualTo(2);
         List<String> log = Files.readAllLines(folder.resolve("log"));
--- a/src/test/java/firstage/overload/LevelTest.java
+++ b/src/test/java/firstage/overload/LevelTest.java
@@ -27,7 +27,7 @@
     private int late;
     private double capacity = CAPACITY;
 
-    /** A manager: what it lets in waits in its queue until the engines have room; what waits for two seconds is lost. */
+    /** A manager: what it lets in waits until the engines have room, and is lost after two seconds. */
     private final class One {
         private final String name;
         private final Level level;
@@ -179,7 +179,8 @@
     @Test
     void lateAndLostWordsMakeItNeitherSwingNorStarve() {
         // Managers, words lost of a hundred, tellings late, the least share of the engines that must be used.
-        for (int[] is : new int[][] {{3, 0, 0, 95}, {12, 30, 0, 95}, {12, 0, 5, 95}, {40, 30, 2, 95}, {12, 0, 25, 85}}) {
+        for (int[] is : new int[][] {{3, 0, 0, 95}, {12, 30, 0, 95}, {12, 0, 5, 95}, {40, 30, 2, 95},
+            {12, 0, 25, 85}}) {
             all.clear();
             fleet(is[0], Level.Fault.NONE);
             loss = is[1] / 100.0;
