--- a/src/main/java/firstage/benchlink/Seat.java
+++ b/src/main/java/firstage/benchlink/Seat.java
@@ -2,13 +2,16 @@
 
 import firstage.Brain;
 import firstage.door.Arrival;
+import firstage.door.Deployment;
 import firstage.door.Ending;
 import firstage.door.EngineList;
 import firstage.door.Host;
 import firstage.door.Note;
 import firstage.door.Outcome;
 import firstage.door.Report;
+import firstage.door.ServiceGroup;
 import firstage.door.WorkloadManager;
+import firstage.overload.Circle;
 import firstage.setup.Fields;
 import firstage.setup.Indices;
 import firstage.setup.MalformedLine;
@@ -24,16 +27,37 @@
             "app_error", Outcome.ERRORED, "shed", Outcome.TURNED_AWAY, "expired", Outcome.TIMED_OUT,
             "dial_failed", Outcome.NO_CONNECTION, "dropped", Outcome.BROKEN, "revoked", Outcome.CALLED_OFF,
             "unused", Outcome.NOT_SENT);
+    /** The token of the wake-up for a look at the level; the decisions use others. */
+    private static final long LOOK = 1L << 20;
     private final String number;
     private final StringBuilder reply = new StringBuilder();
     private final Indices<String> batches = new Indices<>();
     private final Indices<String> keys = new Indices<>();
     private final Indices<Long> engines = new Indices<>();
     private final WorkloadManager manager;
+    /** Null where managers may not talk to each other. */
+    private final Circle circle;
+    private boolean looks;
 
     Seat(String number, Fields setup) {
         this.number = number;
-        this.manager = new Brain(Setup.read(setup), this);
+        Deployment deployment = Setup.read(setup);
+        this.manager = new Brain(deployment, this);
+        long goal = deployment.groups().stream().mapToLong(ServiceGroup::goal).min().orElse(1);
+        circle = !setup.flag("limits.peers") ? null : new Circle(deployment.rank(), goal, this::cut);
+    }
+
+    private void cut(long now, int band, double part) {
+        manager.cut(now, band, part);
+    }
+
+    private void look(long now) {
+        byte[] words = circle.look(now, manager.demand(now));
+        if (words.length > 0) {
+            line("WRITE_PEER").append(" dst=all payload=").append(Base64.getEncoder().encodeToString(words))
+                    .append('\n');
+        }
+        wakeIn(Circle.LOOK, LOOK);
     }
 
     /** Tells the manager of one event; an unknown one is an error of the caller's line. */
@@ -55,14 +79,28 @@
             case "ENDPOINTS" -> manager.listed(now, list(f, lists));
             case "PING_RESULT" -> manager.probed(now, engines.of(f.needWhole("engine")),
                     outcome(f), report(f));
-            case "DATAGRAM" -> manager.peerSaid(now, f.index("by", 0), words(f.text("payload", "-")));
-            case "WAKE" -> manager.woken(now, f.whole("nonce", 0));
+            case "DATAGRAM" -> {
+                if (circle != null) {
+                    circle.heard(now, f.index("by", 0), words(f.text("payload", "-")));
+                }
+            }
+            case "WAKE" -> {
+                if (f.whole("nonce", 0) == LOOK) {
+                    look(now);
+                } else {
+                    manager.woken(now, f.whole("nonce", 0));
+                }
+            }
             case "FLOWING" -> { }
             default -> throw new MalformedLine("unknown event " + event);
         }
     }
 
     void turn(long now) {
+        if (circle != null && !looks) {
+            looks = true;
+            look(now);
+        }
         manager.turn(now);
     }
 
@@ -203,12 +241,6 @@
         line("TEST").append(" engine=").append(engines.id(engine)).append('\n');
     }
 
-    @Override
-    public void tellPeers(byte[] words) {
-        String payload = words.length == 0 ? "-" : Base64.getEncoder().encodeToString(words);
-        line("WRITE_PEER").append(" dst=all payload=").append(payload).append('\n');
-    }
-
     @Override
     public void subscribe() {
         line("LISTEN").append(" enable=1\n");
--- a/src/main/java/firstage/door/Host.java
+++ b/src/main/java/firstage/door/Host.java
@@ -25,10 +25,6 @@
 
     void probe(int engine);
 
-    /** A host whose managers do not talk to each other leaves it. */
-    default void tellPeers(byte[] words) {
-    }
-
     /** A host whose list comes unasked leaves it. */
     default void subscribe() {
     }
--- a/src/main/java/firstage/door/WorkloadManager.java
+++ b/src/main/java/firstage/door/WorkloadManager.java
@@ -15,10 +15,6 @@
 
     void probed(long now, int engine, Outcome outcome, Report report);
 
-    /** A message of another manager; one that does not talk to its peers leaves it. */
-    default void peerSaid(long now, int peer, byte[] words) {
-    }
-
     /**
      * The part of each engine that it may use now: its own share by the settings, less while it hears too few of the
      * others, more where those have given it up. Where nobody shares, it is never told.
--- a/src/main/java/firstage/fleet/ManagerModel.java
+++ b/src/main/java/firstage/fleet/ManagerModel.java
@@ -171,8 +171,8 @@
                 stir();
             }, choice.trials());
             long goal = plan.groups().stream().mapToLong(FleetPlan.Group::goal).min().orElse(1);
-            level = new Level(name(), goal, (band, part) -> {
-                manager.cut(calendar.now(), band, part);
+            level = new Level(name(), goal, (now, band, part) -> {
+                manager.cut(now, band, part);
                 stir();
             }, choice.level());
             look(life);
--- a/src/main/java/firstage/net/Node.java
+++ b/src/main/java/firstage/net/Node.java
@@ -251,8 +251,8 @@
         return assignment.deployment().groups().stream().mapToLong(ServiceGroup::goal).min().orElse(1);
     }
 
-    private void cut(int band, double part) {
-        tell("cut", () -> manager.cut(clock.now(), band, part));
+    private void cut(long now, int band, double part) {
+        tell("cut", () -> manager.cut(now, band, part));
     }
 
     /** Tells what the decisions hold of each engine to who shares the trials. */
@@ -516,12 +516,6 @@
         engines.probe(engine);
     }
 
-    /** This deployment's managers have no way to talk to each other. */
-    @Override
-    public void tellPeers(byte[] words) {
-        counters.count("messages to peers, not sent");
-    }
-
     @Override
     public void wakeIn(long delay, long token) {
         later(Math.max(1, delay / 10), () -> tell("woken", () -> manager.woken(clock.now(), token)));
--- /dev/null
+++ b/src/main/java/firstage/overload/Circle.java
@@ -0,0 +1,62 @@
+package firstage.overload;
+
+import firstage.door.Demand;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The level where each message goes to all and nobody keeps a membership: who was heard of late is here, and each tells
+ * its own row alone. Times are tenths of a millisecond.
+ */
+public final class Circle {
+    /** Between two looks. */
+    public static final long LOOK = 1_000;
+    private static final long TELL = 2_500; // a cut that is a quarter of a second old; half of it would tell no more
+    private static final long HERE = 30_000; // a manager that told nothing so long is taken to be gone
+    private static final double STIR = 0.4; // of what engines bear: under it all is open whatever the others tell
+    private final int me;
+    private final Level level;
+    private final Map<Integer, Long> heardAt = new HashMap<>();
+    private long toldAt = Long.MIN_VALUE / 4;
+    private int here = -1;
+
+    /** {@code me}: its number among the managers; {@code goal}: the shortest of a service group. */
+    public Circle(int me, long goal, Level.Effects effects) {
+        this.me = me;
+        level = new Level(String.valueOf(me), goal, effects, Level.Fault.NONE);
+    }
+
+    /** Works out the cut, to be called each {@link #LOOK}; what all are to be told now, empty for nothing. */
+    public byte[] look(long now, Demand demand) {
+        heardAt.values().removeIf(at -> now - at >= HERE);
+        if (heardAt.size() != here) {
+            viewed();
+        }
+        level.measure(now, demand);
+        level.look(now);
+        boolean stirs = demand.runs() > STIR * demand.bears() / (heardAt.size() + 1) || demand.waits() > 0;
+        if (!stirs || now - toldAt < TELL) {
+            return new byte[0];
+        }
+        toldAt = now;
+        return Words.write(List.of(), level.rows(now, 1));
+    }
+
+    private void viewed() {
+        here = heardAt.size();
+        List<String> names = new ArrayList<>(List.of(String.valueOf(me)));
+        heardAt.keySet().forEach(by -> names.add(String.valueOf(by)));
+        level.viewed(names);
+    }
+
+    /** Another told all; what can't be read says nothing. */
+    public void heard(long now, int by, byte[] words) {
+        heardAt.put(by, now);
+        if (heardAt.size() != here) {
+            viewed();
+        }
+        level.heard(now, Words.read(words).rows());
+    }
+}
--- a/src/main/java/firstage/overload/Level.java
+++ b/src/main/java/firstage/overload/Level.java
@@ -45,7 +45,7 @@
     /** What is decided. */
     public interface Effects {
         /** Batches of a lower band are refused, and of this band all but this part. */
-        void cut(int band, double part);
+        void cut(long now, int band, double part);
     }
 
     /** Faults put back one at a time. */
@@ -176,14 +176,14 @@
             left -= asked;
         }
         boolean open = left >= 0 || rows.size() < 2 && view.size() > 1 && fault != Fault.NO_PEERS;
-        tell(open ? 0 : band, open ? 1 : 1 + left / asked);
+        tell(now, open ? 0 : band, open ? 1 : 1 + left / asked);
     }
 
-    private void tell(int nextCut, double nextPart) {
+    private void tell(long now, int nextCut, double nextPart) {
         if (nextCut != cut || nextPart != part) {
             cut = nextCut;
             part = nextPart;
-            effects.cut(cut, part);
+            effects.cut(now, cut, part);
         }
     }
 
--- a/src/test/java/firstage/FakeHost.java
+++ b/src/test/java/firstage/FakeHost.java
@@ -209,11 +209,6 @@
         acts.add("probe " + engine);
     }
 
-    @Override
-    public void tellPeers(byte[] words) {
-        acts.add("tellPeers");
-    }
-
     @Override
     public void subscribe() {
         acts.add("subscribe");
--- a/src/test/java/firstage/overload/LevelTest.java
+++ b/src/test/java/firstage/overload/LevelTest.java
@@ -43,7 +43,7 @@
 
         private One(String name, Level.Fault fault) {
             this.name = name;
-            level = new Level(name, SECOND, (band, portion) -> {
+            level = new Level(name, SECOND, (at, band, portion) -> {
                 cut = band;
                 part = portion;
             }, fault);
