Zones: a zone that fails is left by all and come back to in steps; off without peers

firstage.evacuation.Zones: the evidence of observers in most other zones, told in the level's rows and passed on; a table of three states; a panic threshold (a third of the zones stay); owners that go on trying; a ramp over the engines' warm-up; a hold that doubles. Two of its own faults found by these tests: engines closed before the zone was left spoke against it on its way back; a manager told once what it held from before its stop. Not yet measured in the yard.

--- /dev/null
+++ b/src/main/java/firstage/evacuation/Zones.java
@@ -0,0 +1,299 @@
+package firstage.evacuation;
+
+import firstage.overload.Level;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Predicate;
+import net.openhft.hashing.LongHashFunction;
+
+/**
+ * Which zones the fleet uses. Each manager by itself finds out engine by engine that a zone is gone, by batches that
+ * are lost at each, and comes back to all of it the moment the list says so. Here each tells what share of each zone's
+ * engines it holds closed, of those it knows of late; a zone that most observers of most other zones hold for bad is
+ * left by all, engines it was not tried at included. One manager for each of its engines goes on trying it; when these
+ * are well for a while, managers come back one after another over the time that engines take to warm up. A zone that
+ * fails again is held out for twice as long each time.
+ *
+ * <p>A zone is never left by the evidence of one other zone where there are more: that is the way between the two, and
+ * each engine's own health deals with it. Nor is one left where too few would stay in use: if all is bad, leaving
+ * makes it worse. Who stood still or was cut off has no voice until it looked around again. Times are tenths of a
+ * millisecond.
+ */
+public final class Zones {
+    /** What is told of a zone that one knows nothing of. */
+    public static final int UNKNOWN = 255;
+    private static final int BAD = 60; // per cent of its known engines closed: a release or a rack is less
+    private static final int WELL = 30; // per cent: those that are closed still are engine health's matter
+    private static final int LEAST_KNOWN = 2; // engines: one alone tells of itself
+    private static final long LATELY = 30_000; // since an engine spoke: what is older says nothing of now
+    private static final long ANSWERS = 20_000; // within this a usual batch comes back: before, a trial says nothing
+    private static final long SURE = 5_000; // a verdict lasts before it is acted on: one late answer passes
+    private static final long WELL_FOR = 20_000; // before the way back: a flap of 3 s does not look like it
+    private static final long FIRST_HOLD = 100_000; // out at least: flaps of 3 s get four in two minutes; doubled up to ...
+    private static final long MOST_HOLD = 600_000; // ... this: a zone that is well is back within a minute
+    private static final long FORGIVEN = 600_000; // in use so long, and the next failure counts as the first
+    private static final long LEAST_RAMP = 20_000; // for the way back; else as long as engines take to warm up
+    private static final long TRY_EVERY = 20_000; // by an engine's owner: a batch in two seconds, whatever the fleet
+    private static final double USED = 1 / 3.0; // of all zones stay in use at least
+    private static final long STOOD_STILL = 10_000; // between two looks: then what is known is old
+
+    private enum State { IN, OUT, BACK }
+
+    private enum Event { BAD, WELL, DUE }
+
+    private record Row(State state, Event event, State next) {
+    }
+
+    private static final Row[] TABLE = {
+        new Row(State.IN, Event.BAD, State.OUT),
+        new Row(State.OUT, Event.WELL, State.BACK),
+        new Row(State.BACK, Event.BAD, State.OUT),
+        new Row(State.BACK, Event.DUE, State.IN),
+    };
+
+    /** What is decided; none of it calls back. */
+    public interface Effects {
+        /** Whether this manager keeps away from an engine; where {@code restIsOver}, it is to be tried now. */
+        void keepAway(long engine, boolean away, boolean restIsOver);
+
+        /** A zone is left, or used again: for the log. */
+        void turned(int zone, String state);
+    }
+
+    /** Faults put back one at a time. */
+    public enum Fault { NONE, ONE_IS_ENOUGH, ALL_MAY_GO, ALL_AT_ONCE, NO_HOLD, STILL_COUNTS, NOBODY_TRIES }
+
+    private static final class Known {
+        private final int zone;
+        private boolean closed;
+        private long triedAt;
+        private long heardAt;
+        private boolean othersTry;
+        private boolean away;
+
+        private Known(int zone) {
+            this.zone = zone;
+        }
+    }
+
+    private static final class Zone {
+        private State state = State.IN;
+        private long since;
+        private long badSince = -1;
+        private long wellSince = -1;
+        private long hold = FIRST_HOLD;
+    }
+
+    private final String me;
+    private final int mine;
+    private final long ramp;
+    private final Effects effects;
+    private final Fault fault;
+    private final Zone[] zones;
+    private final Map<Long, Known> engines = new HashMap<>();
+    private List<String> view = List.of();
+    private long lookedAt = -1;
+    private long blindUntil = Long.MIN_VALUE / 4;
+
+    /** {@code mine}: this manager's zone; {@code warm}: how long engines take to warm up. */
+    public Zones(String me, int mine, int zones, long warm, Effects effects, Fault fault) {
+        this.me = me;
+        this.mine = mine;
+        this.ramp = Math.max(LEAST_RAMP, warm);
+        this.effects = effects;
+        this.fault = fault;
+        this.zones = new Zone[zones];
+        Arrays.setAll(this.zones, z -> new Zone());
+    }
+
+    /** Who is here. */
+    public void viewed(List<String> names) {
+        view = List.copyOf(names);
+    }
+
+    /**
+     * How this manager itself holds an engine of the list; {@code triedAt}, {@code heardAt}: when a batch last went
+     * there, when it last spoke.
+     */
+    public void holds(int zone, long engine, boolean closed, long triedAt, long heardAt) {
+        if (zone >= 0 && zone < zones.length) {
+            Known k = engines.computeIfAbsent(engine, e -> new Known(zone));
+            k.closed = closed;
+            k.triedAt = triedAt;
+            k.heardAt = heardAt;
+        }
+    }
+
+    /** It is off the list. */
+    public void forget(long engine) {
+        engines.remove(engine);
+    }
+
+    /** The engine by itself is left to others to try, or no longer ({@link firstage.overload.Trials}). */
+    public void othersTry(long engine, boolean others, boolean restIsOver) {
+        Known k = engines.get(engine);
+        if (k == null) {
+            effects.keepAway(engine, others, restIsOver);
+            return;
+        }
+        k.othersTry = others;
+        if (zones[k.zone].state == State.IN) {
+            k.away = others;
+            effects.keepAway(engine, others, restIsOver);
+        }
+    }
+
+    /** What this manager tells: by zone, per cent of the engines it knows of late that it holds closed. */
+    public int[] sees(long now) {
+        awake(now);
+        int[] closed = new int[zones.length];
+        int[] known = new int[zones.length];
+        int[] all = new int[zones.length];
+        engines.forEach((engine, k) -> {
+            Zone z = zones[k.zone];
+            // Of a zone that was left those count that this manager tries, and what came of it since.
+            boolean counts = z.state == State.IN || !k.away;
+            boolean spoke = k.heardAt > (z.state == State.IN ? now - LATELY : z.since);
+            boolean shut = k.closed && (z.state != State.BACK || k.triedAt > z.since && now - k.triedAt > ANSWERS);
+            all[k.zone]++;
+            known[k.zone] += counts && (shut || spoke) ? 1 : 0;
+            closed[k.zone] += counts && shut ? 1 : 0;
+        });
+        int[] told = new int[zones.length];
+        for (int z = 0; z < zones.length; z++) {
+            int least = zones[z].state == State.OUT ? 1 : Math.min(LEAST_KNOWN, all[z]);
+            told[z] = known[z] == 0 || known[z] < least || now < blindUntil ? UNKNOWN : 100 * closed[z] / known[z];
+        }
+        return told;
+    }
+
+    /** Who stood still knows nothing of now: what it holds is from before, or fell due in one instant on waking. */
+    private void awake(long now) {
+        if (lookedAt >= 0 && now - lookedAt > STOOD_STILL && fault != Fault.STILL_COUNTS) {
+            blindUntil = now + LATELY;
+        }
+        lookedAt = now;
+    }
+
+    private boolean owns(long engine) {
+        return fault != Fault.NOBODY_TRIES && view.stream().allMatch(n -> rank(engine, n) <= rank(engine, me));
+    }
+
+    private static long rank(long of, String name) {
+        return LongHashFunction.xx3(of).hashChars(name);
+    }
+
+    /** Looks at all zones, each tenth of a second or so; {@code rows}: of all that are fresh, its own included. */
+    public void look(long now, List<Level.Row> rows) {
+        awake(now);
+        boolean[] bad = new boolean[zones.length];
+        int worst = 0;
+        for (int z = 0; z < zones.length; z++) {
+            bad[z] = bad(z, rows);
+            worst += bad[z] || zones[z].state == State.OUT ? 1 : 0;
+        }
+        boolean tooMany = zones.length - worst < Math.max(1, USED * zones.length) && fault != Fault.ALL_MAY_GO;
+        for (int z = 0; z < zones.length; z++) {
+            look(now, z, bad[z] && !(tooMany && zones[z].state == State.IN) && now >= blindUntil, rows);
+        }
+        engines.forEach((engine, k) -> keep(now, engine, k));
+    }
+
+    /** Whether most observers of most other zones, and of two where there are so many, hold it for bad. */
+    private boolean bad(int zone, List<Level.Row> rows) {
+        int voices = 0;
+        int say = 0;
+        for (int from = 0; from < zones.length; from++) {
+            int is = from;
+            if (is != zone) {
+                int observers = count(rows, r -> r.zone() == is && sees(r, zone) != UNKNOWN);
+                int hold = count(rows, r -> r.zone() == is && sees(r, zone) != UNKNOWN && sees(r, zone) >= BAD);
+                voices += observers > 0 ? 1 : 0;
+                say += 2 * hold > observers || fault == Fault.ONE_IS_ENOUGH && hold > 0 ? 1 : 0;
+            }
+        }
+        int needed = fault == Fault.ONE_IS_ENOUGH ? 1 : Math.min(2, zones.length - 1);
+        return say >= needed && (2 * say > voices || fault == Fault.ONE_IS_ENOUGH);
+    }
+
+    private static int count(List<Level.Row> rows, Predicate<Level.Row> what) {
+        return (int) rows.stream().filter(what).count();
+    }
+
+    private static int sees(Level.Row row, int zone) {
+        return zone < row.bad().length ? row.bad()[zone] : UNKNOWN;
+    }
+
+    /** Whether those that try its engines find most of them well. */
+    private static boolean well(int zone, List<Level.Row> rows) {
+        int[] told = rows.stream().mapToInt(r -> sees(r, zone)).filter(s -> s != UNKNOWN).toArray();
+        return told.length >= Math.min(2, rows.size()) && Arrays.stream(told).average().orElse(100) <= WELL;
+    }
+
+    private void look(long now, int at, boolean bad, List<Level.Row> rows) {
+        Zone z = zones[at];
+        boolean well = well(at, rows);
+        z.badSince = !bad ? -1 : z.badSince < 0 ? now : z.badSince;
+        z.wellSince = !well ? -1 : z.wellSince < 0 ? now : z.wellSince;
+        boolean held = now - z.since < z.hold && fault != Fault.NO_HOLD;
+        Event event = bad && now - z.badSince >= SURE ? Event.BAD
+                : z.state == State.OUT && well && now - z.wellSince >= WELL_FOR && !held ? Event.WELL
+                : z.state == State.BACK && now - z.since >= ramp ? Event.DUE : null;
+        for (Row row : TABLE) {
+            if (row.state == z.state && row.event == event) {
+                if (row.next == State.OUT) {
+                    // Failed on its way back, or soon after: longer out. In use for long, it is forgiven.
+                    boolean again = row.state == State.BACK || z.since > 0 && now - z.since < FORGIVEN;
+                    z.hold = again ? Math.min(MOST_HOLD, 2 * z.hold) : FIRST_HOLD;
+                }
+                z.state = row.next;
+                z.since = now;
+                z.badSince = -1;
+                z.wellSince = -1;
+                effects.turned(at, row.next.name().toLowerCase(Locale.ROOT));
+                return;
+            }
+        }
+    }
+
+    private void keep(long now, long engine, Known k) {
+        Zone z = zones[k.zone];
+        boolean owned = z.state != State.IN && owns(engine);
+        boolean away = switch (z.state) {
+            case IN -> k.othersTry;
+            case OUT -> !owned;
+            case BACK -> !owned && now < z.since + place(k.zone) * ramp && fault != Fault.ALL_AT_ONCE;
+        };
+        boolean tries = owned && k.closed && now - k.triedAt >= TRY_EVERY;
+        if (away != k.away || tries) {
+            k.away = away;
+            effects.keepAway(engine, away, tries || !away && z.state == State.BACK);
+        }
+    }
+
+    /** This manager's place on the way back to a zone, from 0 to 1. */
+    private double place(int zone) {
+        long before = view.stream().filter(n -> rank(zone, n) > rank(zone, me)).count();
+        return (double) before / Math.max(1, view.size());
+    }
+
+    /** The zones that are left, or on the way back. */
+    public List<Integer> out() {
+        List<Integer> out = new ArrayList<>();
+        for (int z = 0; z < zones.length; z++) {
+            if (zones[z].state != State.IN) {
+                out.add(z);
+            }
+        }
+        return out;
+    }
+
+    /** This manager's own zone. */
+    public int mine() {
+        return mine;
+    }
+}
--- a/src/main/java/firstage/fleet/Choice.java
+++ b/src/main/java/firstage/fleet/Choice.java
@@ -4,6 +4,7 @@
 import firstage.door.Deployment;
 import firstage.door.Host;
 import firstage.door.WorkloadManager;
+import firstage.evacuation.Zones;
 import firstage.overload.Level;
 import firstage.overload.Trials;
 import java.util.List;
@@ -13,37 +14,42 @@
  * What decides in a run: the real decisions, or a textbook policy. {@code bounds} tells the decisions that each
  * engine has
  * so many times its cores and memory, which opens their bounds as a wrong setting would. {@code peers}: managers know
- * each other, by the truth, and tell each other what takes its time on its way; {@code trials} and
- * {@code level} put a fault back.
+ * each other, by the truth, and tell each other what takes its time on its way; {@code trials} {@code level} and
+ * {@code zones} put a fault back.
  */
 public record Choice(String name, PlainPolicy.Kind plain, double bounds, boolean peers, Trials.Fault trials,
-                     Level.Fault level) {
+                     Level.Fault level, Zones.Fault zones) {
     private static final String BRAIN = "brain";
     private static final String PEERS = BRAIN + ":peers";
 
     /** {@code brain}, {@code brain:bounds=4}, {@code random}, {@code round-robin}, ...; a fault names what would do. */
     public static Choice of(String text) {
         if (text.equals(BRAIN)) {
-            return new Choice(text, null, 1, false, null, null);
+            return new Choice(text, null, 1, false, null, null, null);
         }
         if (text.equals(PEERS)) {
-            return new Choice(text, null, 1, true, Trials.Fault.NONE, Level.Fault.NONE);
+            return new Choice(text, null, 1, true, Trials.Fault.NONE, Level.Fault.NONE, Zones.Fault.NONE);
         }
         for (Trials.Fault fault : Trials.Fault.values()) {
             if (text.equals(PEERS + "=" + word(fault))) {
-                return new Choice(text, null, 1, true, fault, Level.Fault.NONE);
+                return new Choice(text, null, 1, true, fault, Level.Fault.NONE, Zones.Fault.NONE);
             }
         }
         for (Level.Fault fault : Level.Fault.values()) {
             if (text.equals(PEERS + "=" + word(fault))) {
-                return new Choice(text, null, 1, true, Trials.Fault.NONE, fault);
+                return new Choice(text, null, 1, true, Trials.Fault.NONE, fault, Zones.Fault.NONE);
+            }
+        }
+        for (Zones.Fault fault : Zones.Fault.values()) {
+            if (text.equals(PEERS + "=" + word(fault))) {
+                return new Choice(text, null, 1, true, Trials.Fault.NONE, Level.Fault.NONE, fault);
             }
         }
         if (text.startsWith(BRAIN + ":bounds=")) {
             try {
                 double bounds = Double.parseDouble(text.substring((BRAIN + ":bounds=").length()));
                 if (bounds > 0 && bounds <= 1_000) {
-                    return new Choice(text, null, bounds, false, null, null);
+                    return new Choice(text, null, bounds, false, null, null, null);
                 }
             } catch (NumberFormatException fault) {
                 // Told below.
@@ -52,7 +58,7 @@
         }
         for (PlainPolicy.Kind kind : PlainPolicy.Kind.values()) {
             if (word(kind).equals(text)) {
-                return new Choice(text, kind, 1, false, null, null);
+                return new Choice(text, kind, 1, false, null, null, null);
             }
         }
         throw new FleetFault(0, "'" + text + "' is no choice; there are " + String.join(", ", names()));
--- a/src/main/java/firstage/fleet/FleetRun.java
+++ b/src/main/java/firstage/fleet/FleetRun.java
@@ -5,6 +5,7 @@
 import firstage.fleet.FleetPlan.Trouble;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -39,6 +40,7 @@
     private final List<Trouble> dear = new ArrayList<>();
     private double boost = 1;
     private long toSick;
+    private final Map<String, Integer> turns = new HashMap<>();
     private double sickSeconds;
 
     private FleetRun(FleetPlan plan, Choice choice, long seed) {
@@ -112,6 +114,11 @@
         toSick++;
     }
 
+    @Override
+    public void turned(long now, int zone, String state) {
+        turns.merge(state, 1, Integer::sum);
+    }
+
     // ---- Clients.
     private void arrival() {
         long now = calendar.now();
--- a/src/main/java/firstage/fleet/ManagerModel.java
+++ b/src/main/java/firstage/fleet/ManagerModel.java
@@ -9,6 +9,7 @@
 import firstage.door.Outcome;
 import firstage.door.Report;
 import firstage.door.WorkloadManager;
+import firstage.evacuation.Zones;
 import firstage.fleet.EngineModel.Job;
 import firstage.overload.Level;
 import firstage.overload.Trials;
@@ -43,6 +44,9 @@
 
         /** A dispatch goes to an engine that is down, silent or hangs. */
         void toSick();
+
+        /** A manager left a zone, or uses it again. */
+        void turned(long now, int zone, String state);
     }
 
     private static final class Open {
@@ -132,6 +136,7 @@
     private boolean turnDue;
     private Trials trials;
     private Level level;
+    private Zones zones;
     private long reportsLater;
     private final Set<Open> open = new LinkedHashSet<>();
     /** The list as it last had it: by engine, standing and start. */
@@ -166,10 +171,20 @@
         manager = choice.start(FleetDeployment.of(plan, number, streams.seed("manager-life", number * 1_000L + life),
                 choice.bounds()), this);
         if (choice.peers()) {
-            trials = new Trials(name(), PERIOD, (mark, others, over) -> {
-                manager.othersTry(calendar.now(), (int) mark, others, over);
-                stir();
-            }, choice.trials());
+            zones = new Zones(name(), plan.zoneOf(number), plan.zones().size(), Math.round(plan.engines().warmAfter()
+                    .high()), new Zones.Effects() {
+                        @Override
+                        public void keepAway(long engine, boolean away, boolean restIsOver) {
+                            manager.othersTry(calendar.now(), (int) engine, away, restIsOver);
+                            stir();
+                        }
+
+                        @Override
+                        public void turned(int zone, String state) {
+                            answers.turned(calendar.now(), zone, state);
+                        }
+                    }, choice.zones());
+            trials = new Trials(name(), PERIOD, zones::othersTry, choice.trials());
             long goal = plan.groups().stream().mapToLong(FleetPlan.Group::goal).min().orElse(1);
             level = new Level(name(), goal, (now, band, part) -> {
                 manager.cut(now, band, part);
@@ -191,10 +206,14 @@
             for (EngineModel e : engines) {
                 trials.holds(calendar.now(), e.number(), manager.closed(e.number()), manager.triedAt(e.number()),
                         manager.heardAt(e.number()));
+                zones.holds(plan.zoneOf(e.number()), e.number(), manager.closed(e.number()),
+                        manager.triedAt(e.number()), manager.heardAt(e.number()));
             }
             trials.look(calendar.now());
             level.measure(calendar.now(), manager.demand(calendar.now()));
+            level.sees(zones.mine(), zones.sees(calendar.now()));
             level.look(calendar.now());
+            zones.look(calendar.now(), level.table(calendar.now()));
             calendar.in(LOOK, () -> look(mine));
         }
     }
@@ -218,6 +237,7 @@
         if (trials != null) {
             trials.viewed(names);
             level.viewed(names);
+            zones.viewed(names);
         }
     }
 
--- a/src/main/java/firstage/net/Node.java
+++ b/src/main/java/firstage/net/Node.java
@@ -8,7 +8,6 @@
 import firstage.door.Note;
 import firstage.door.Outcome;
 import firstage.door.Report;
-import firstage.door.ServiceGroup;
 import firstage.door.WorkloadManager;
 import firstage.life.KeyWatch;
 import firstage.life.TakingOrder;
@@ -21,7 +20,9 @@
 import firstage.setup.Indices;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -43,7 +44,7 @@
     /** Tenths of a millisecond that the last answers may need on their way. */
     private static final long LAST_WORDS = 5_000;
     private static final long SWEEP_MS = 1_000;
-    private static final long TRIALS_MS = 100;
+    private static final long TOGETHER_MS = 100;
     /** After a client's time is up; its answer must be there 50 ms after it. */
     private static final long OVERDUE_MS = 35;
     /** Dispatches that are given up end within this. */
@@ -65,6 +66,7 @@
     /** Null where no peers are named. */
     private final Peers peers;
     private double share;
+    private final Map<Integer, Integer> zoneOf = new HashMap<>();
     private final TakingOrder<Came> order = new TakingOrder<>(new Readings());
     private final KeyWatch watch = new KeyWatch();
     private final Indices<Exchange> batches = new Indices<>();
@@ -89,10 +91,9 @@
         door = new ClientDoor(io, clock, counters, this, assignment);
         follower = new Follower(io, clock, counters, this, assignment);
         manager = new Brain(assignment.deployment(), this);
-        int all = assignment.deployment().managers();
-        this.peers = peers == null ? null : new Peers(peers, all, assignment.deployment().seed(),
-                System.currentTimeMillis(), io, clock, counters, this::othersTry, shortestGoal(assignment), this::cut);
-        share = 1.0 / all;
+        this.peers = peers == null ? null : new Peers(peers, assignment, System.currentTimeMillis(), io, clock,
+                counters, new Together());
+        share = 1.0 / assignment.deployment().managers();
     }
 
     /** Starts serving; returns once clients can connect. Where the address is held, it may be tried again. */
@@ -105,7 +106,7 @@
             barrier.start();
             if (peers != null) {
                 peers.start();
-                lookAtTrials();
+                lookTogether();
             }
             follower.follow(assignment);
             door.accept();
@@ -239,34 +240,33 @@
         return peers == null ? 0 : peers.stoodStill();
     }
 
-    private void othersTry(long engine, boolean others, boolean restIsOver) {
-        counters.count(others ? "trials left to others" : "trials taken back");
-        int index = ids.find(engine);
-        if (index >= 0) {
-            tell("trials", () -> manager.othersTry(clock.now(), index, others, restIsOver));
+    /** What all decide together is news to the decisions. */
+    private final class Together implements Peers.Effects {
+        @Override
+        public void keepAway(long engine, boolean away, boolean restIsOver) {
+            counters.count(away ? "engines left to others" : "engines taken back");
+            int index = ids.find(engine);
+            if (index >= 0) {
+                tell("away", () -> manager.othersTry(clock.now(), index, away, restIsOver));
+            }
         }
-    }
 
-    private static long shortestGoal(Assignment assignment) {
-        return assignment.deployment().groups().stream().mapToLong(ServiceGroup::goal).min().orElse(1);
-    }
-
-    private void cut(long now, int band, double part) {
-        tell("cut", () -> manager.cut(now, band, part));
+        @Override
+        public void cut(long now, int band, double part) {
+            tell("cut", () -> manager.cut(now, band, part));
+        }
     }
 
-    /** Tells what the decisions hold of each engine to who shares the trials. */
-    private void lookAtTrials() {
+    /** Tells what the decisions hold of each engine to who acts on it together. */
+    private void lookTogether() {
         for (int engine = 0; engine < engines.count(); engine++) {
             if (engines.listed(engine)) {
-                peers.trials().holds(clock.now(), ids.id(engine), manager.closed(engine), manager.triedAt(engine),
-                        manager.heardAt(engine));
+                peers.holds(zoneOf.getOrDefault(engine, -1), ids.id(engine), manager.closed(engine),
+                        manager.triedAt(engine), manager.heardAt(engine));
             }
         }
-        peers.trials().look(clock.now());
-        peers.level().measure(clock.now(), manager.demand(clock.now()));
-        peers.level().look(clock.now());
-        later(TRIALS_MS, this::lookAtTrials);
+        peers.look(manager.demand(clock.now()));
+        later(TOGETHER_MS, this::lookTogether);
     }
 
     /** Asked before each turn: what others gave may have ended while this process stood still. */
@@ -424,6 +424,7 @@
         List<EngineList.Entry> told = new ArrayList<>();
         for (Listed e : entries) {
             int index = ids.of(e.id());
+            zoneOf.put(index, e.zone());
             engines.listed(index, e);
             told.add(new EngineList.Entry(index, e.id(), e.zone(), e.kind(), e.cell(), e.standing(), e.weight(),
                     e.since()));
@@ -505,10 +506,11 @@
     @Override
     public void forgetEngine(int engine) {
         if (peers != null) {
-            peers.trials().forget(ids.id(engine));
+            peers.forget(ids.id(engine));
         }
         ids.release(engine);
         engines.forget(engine);
+        zoneOf.remove(engine);
     }
 
     @Override
--- a/src/main/java/firstage/net/members/Peers.java
+++ b/src/main/java/firstage/net/members/Peers.java
@@ -2,11 +2,16 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import firstage.door.Demand;
+import firstage.door.Deployment;
+import firstage.door.ServiceGroup;
+import firstage.evacuation.Zones;
 import firstage.members.Entry;
 import firstage.members.Leases;
 import firstage.members.Members;
 import firstage.members.Standing;
 import firstage.members.View;
+import firstage.net.Assignment;
 import firstage.net.Clock;
 import firstage.net.Counters;
 import firstage.overload.Level;
@@ -55,6 +60,7 @@
     private final Leases leases;
     private final Trials trials;
     private final Level level;
+    private final Zones zones;
     private final Map<InetSocketAddress, Integer> seeds = new HashMap<>();
     private final ByteBuffer shared = ByteBuffer.allocateDirect(MOST + 1);
     private final SocketAddressBuffer from = new SocketAddressBuffer();
@@ -64,15 +70,34 @@
     private long wokeAt = Long.MIN_VALUE / 4;
     private long stoppedFor;
 
-    /**
-     * {@code all}: how many managers the settings tell of; {@code started}: Unix ms, the number of this life;
-     * {@code goal}: the shortest of a service group.
-     */
-    public Peers(PeerList list, int all, long seed, long started, XnioIoThread io, Clock clock, Counters counters,
-                 Trials.Effects effects, long goal, Level.Effects cut) {
+    /** What the managers together decide for this one. */
+    public interface Effects extends Level.Effects {
+        /** Whether it keeps away from an engine; where {@code restIsOver}, the engine is to be tried now. */
+        void keepAway(long engine, boolean away, boolean restIsOver);
+    }
+
+    /** {@code started}: Unix ms, the number of this life. */
+    public Peers(PeerList list, Assignment assignment, long started, XnioIoThread io, Clock clock, Counters counters,
+                 Effects effects) {
         this.list = list;
-        level = new Level(list.name(), goal, cut, Level.Fault.NONE);
-        trials = new Trials(list.name(), list.period(), effects, Trials.Fault.NONE);
+        Deployment deployment = assignment.deployment();
+        long goal = deployment.groups().stream().mapToLong(ServiceGroup::goal).min().orElse(1);
+        level = new Level(list.name(), goal, effects, Level.Fault.NONE);
+        zones = new Zones(list.name(), deployment.zone(), assignment.settings().text("areas", "").split(",").length,
+                deployment.rules().warmAfter(), new Zones.Effects() {
+                    @Override
+                    public void keepAway(long engine, boolean away, boolean restIsOver) {
+                        effects.keepAway(engine, away, restIsOver);
+                    }
+
+                    @Override
+                    public void turned(int zone, String state) {
+                        LOG.info(() -> "zone {\"zone\":" + zone + ",\"is\":\"" + state + "\"}");
+                    }
+                }, Zones.Fault.NONE);
+        trials = new Trials(list.name(), list.period(), zones::othersTry, Trials.Fault.NONE);
+        int all = deployment.managers();
+        long seed = deployment.seed();
         this.io = io;
         this.clock = clock;
         this.counters = counters;
@@ -179,6 +204,11 @@
             out.writeNumberField("share", leases.share(now));
             out.writeNumberField("trials withheld", trials.withheld());
             out.writeNumberField("cut", level.cut());
+            out.writeArrayFieldStart("zones left");
+            for (int zone : zones.out()) {
+                out.writeNumber(zone);
+            }
+            out.writeEndArray();
             out.writeArrayFieldStart("members");
             for (Entry e : members.entries()) {
                 out.writeStartObject();
@@ -230,6 +260,7 @@
     public void changed(long now, View view) {
         trials.viewed(view.names());
         level.viewed(view.names());
+        zones.viewed(view.names());
         LOG.info(() -> "view {\"number\":" + view.number() + ",\"members\":\"" + String.join(" ", view.names())
                 + "\",\"share\":" + String.format(Locale.ROOT, "%.4f", leases.share(now)) + "}");
     }
@@ -252,13 +283,28 @@
         level.heard(now, told.rows());
     }
 
-    /** What the fleet has no room for; on the I/O thread. */
-    public Level level() {
-        return level;
+    /**
+     * How this manager's decisions hold an engine of the list; {@code triedAt}, {@code heardAt}: when a batch last went
+     * there, when it last spoke. On the I/O thread, as all calls.
+     */
+    public void holds(int zone, long engine, boolean shut, long triedAt, long heardAt) {
+        trials.holds(clock.now(), engine, shut, triedAt, heardAt);
+        zones.holds(zone, engine, shut, triedAt, heardAt);
+    }
+
+    /** Works out what all do together, from what this manager was asked for and what the others told. */
+    public void look(Demand demand) {
+        long now = clock.now();
+        trials.look(now);
+        level.measure(now, demand);
+        level.sees(zones.mine(), zones.sees(now));
+        level.look(now);
+        zones.look(now, level.table(now));
     }
 
-    /** Who tries which sick engine; on the I/O thread. */
-    public Trials trials() {
-        return trials;
+    /** The engine is off the list. */
+    public void forget(long engine) {
+        trials.forget(engine);
+        zones.forget(engine);
     }
 }
--- a/src/main/java/firstage/overload/Level.java
+++ b/src/main/java/firstage/overload/Level.java
@@ -53,9 +53,11 @@
 
     /**
      * What one manager tells of itself. {@code name}: a hash; {@code stamp}: of its own clock, the later is the newer;
-     * {@code came} by band, {@code sent}: rates; {@code waits}: seconds of work; {@code runs}: threads.
+     * {@code came} by band, {@code sent}: rates; {@code waits}: seconds of work; {@code runs}: threads; {@code zone}: its
+     * own; {@code bad}: by zone, per cent of its engines that it holds closed ({@link firstage.evacuation.Zones}).
      */
-    public record Row(int name, int stamp, double[] came, double sent, double waits, double runs) {
+    public record Row(int name, int stamp, double[] came, double sent, double waits, double runs, int zone,
+                      int[] bad) {
     }
 
     private record Told(Row row, long at) {
@@ -78,6 +80,8 @@
     private long measuredAt = -1;
     private Set<Integer> view = Set.of();
     private int turn;
+    private int zone;
+    private int[] bad = new int[0];
     private int cut;
     private double part = 1;
 
@@ -127,7 +131,7 @@
     }
 
     private Row mine(long now) {
-        return new Row(me, (int) (now / STAMP), came.clone(), sent, waits, runs);
+        return new Row(me, (int) (now / STAMP), came.clone(), sent, waits, runs, zone, bad);
     }
 
     /** What this manager's own decisions count, to be told each tenth of a second or so. */
@@ -151,10 +155,22 @@
         lostBefore = d.lost();
     }
 
-    /** Works out the cut; to be called after {@link #measure}. */
-    public void look(long now) {
+    /** What it sees of the zones, to be told with the rest. */
+    public void sees(int ownZone, int[] badByZone) {
+        zone = ownZone;
+        bad = badByZone;
+    }
+
+    /** All fresh rows, its own first. */
+    public List<Row> table(long now) {
         List<Row> rows = new ArrayList<>(List.of(mine(now)));
         told.values().stream().filter(t -> isFresh(now, t) && fault != Fault.NO_PEERS).forEach(t -> rows.add(t.row));
+        return rows;
+    }
+
+    /** Works out the cut; to be called after {@link #measure}. */
+    public void look(long now) {
+        List<Row> rows = table(now);
         // Who is here and not heard is taken to be as the others are.
         double whole = Math.max(1, (double) view.size() / rows.size());
         double sends = rows.stream().mapToDouble(Row::sent).sum();
--- a/src/main/java/firstage/overload/Words.java
+++ b/src/main/java/firstage/overload/Words.java
@@ -22,9 +22,9 @@
     /** Of a digest: half of a datagram and more is left to the membership. */
     private static final int BYTES = 560;
     private static final int WORD_BYTES = 14;
-    private static final int ROW_BYTES = 22;
+    private static final int ROW_BYTES = 26;
     private static final int LEAST_ROWS = 6;
-    private static final int ROW_HEAD = 15;
+    private static final int ROW_HEAD = 17;
     /** A thousandth of a core; with eight steps an octave a byte reaches four million. */
     private static final double LEAST = 0.001;
     private static final double STEPS = 8;
@@ -75,7 +75,10 @@
         return out.toByteArray();
     }
 
-    /** Each: name, stamp, sent, waits, runs, a bit for each band that was asked for, and those bands' figures. */
+    /**
+     * Each: name, stamp, sent, waits, runs, a bit for each band that was asked for, its zone, what it sees
+     * of each, and those bands' figures.
+     */
     private static byte[] bytes(List<Level.Row> rows) {
         ByteArrayOutputStream out = new ByteArrayOutputStream(rows.size() * ROW_BYTES);
         for (Level.Row r : rows) {
@@ -89,6 +92,11 @@
                 asked |= coarse(r.came()[band]) != 0 ? 1 << band : 0;
             }
             put(out, asked);
+            out.write(r.zone());
+            out.write(r.bad().length);
+            for (int share : r.bad()) {
+                out.write(share);
+            }
             for (int band = 0; band < Demand.BANDS; band++) {
                 if ((asked & 1 << band) != 0) {
                     out.write(coarse(r.came()[band]));
@@ -116,18 +124,23 @@
         List<Level.Row> rows = new ArrayList<>();
         int at = 0;
         while (in.length - at >= ROW_HEAD) {
-            int asked = number(in, at + ROW_HEAD - Integer.BYTES);
+            int asked = number(in, at + ROW_HEAD - Integer.BYTES - 2);
             int next = at + ROW_HEAD;
-            if (in.length - next < Integer.bitCount(asked)) {
+            int[] bad = new int[Byte.toUnsignedInt(in[next - 1])];
+            if (in.length - next < bad.length + Integer.bitCount(asked)) {
                 return List.of();
             }
+            for (int zone = 0; zone < bad.length; zone++) {
+                bad[zone] = Byte.toUnsignedInt(in[next++]);
+            }
             double[] came = new double[Demand.BANDS];
             for (int band = 0; band < Demand.BANDS; band++) {
                 came[band] = (asked & 1 << band) != 0 ? fine(in[next++]) : 0;
             }
             int figures = at + 2 * Integer.BYTES;
             rows.add(new Level.Row(number(in, at), number(in, at + Integer.BYTES), came, fine(in[figures]),
-                    fine(in[figures + 1]), fine(in[figures + 2])));
+                    fine(in[figures + 1]), fine(in[figures + 2]),
+                    Byte.toUnsignedInt(in[at + ROW_HEAD - 2]), bad));
             at = next;
         }
         return rows;
--- a/src/test/java/firstage/ArrowsTest.java
+++ b/src/test/java/firstage/ArrowsTest.java
@@ -19,7 +19,7 @@
 @AnalyzeClasses(packages = "firstage", importOptions = ImportOption.DoNotIncludeTests.class)
 class ArrowsTest {
     private static final String[] FREE = {"firstage", "firstage.door", "firstage.state", "firstage.life",
-            "firstage.fleet", "firstage.members", "firstage.overload"};
+            "firstage.fleet", "firstage.members", "firstage.overload", "firstage.evacuation"};
 
     @ArchTest
     final ArchRule WITHOUT_IO = noClasses().that().resideInAnyPackage(FREE).should().dependOnClassesThat()
@@ -39,7 +39,7 @@
     @ArchTest
     final ArchRule SERVES_ALONE = noClasses().that().resideInAnyPackage("firstage", "firstage.door..",
             "firstage.state..", "firstage.setup..", "firstage.life..", "firstage.members..",
-                    "firstage.overload..", "firstage.net..",
+                    "firstage.overload..", "firstage.evacuation..", "firstage.net..",
                     "firstage.benchlink..",
                     "org.xnio..")
             .should().dependOnClassesThat().resideInAnyPackage("firstage.fleet..", "firstage.lab..", "firstage.yard..",
--- /dev/null
+++ b/src/test/java/firstage/evacuation/ZonesTest.java
@@ -0,0 +1,329 @@
+package firstage.evacuation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import firstage.overload.Level;
+import firstage.overload.Words;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Three zones with managers and engines, ways between them that break: who leaves which, and who comes back when. */
+class ZonesTest {
+    private static final long SECOND = 10_000;
+    private static final long STEP = 1_000;
+    private static final int ZONES = 3;
+    private static final int ENGINES = 12;
+    private static final long WARM = 5 * SECOND;
+    /** After which a manager by itself closes an engine that does not answer. */
+    private static final long NOTICES = SECOND;
+    private final RandomGenerator chance = RandomGeneratorFactory.of("L64X128MixRandom").create(3);
+    private final List<One> all = new ArrayList<>();
+    /** From a manager's zone to an engine's; and between managers. */
+    private final boolean[][] bears = new boolean[ZONES][ZONES];
+    private final boolean[][] talks = new boolean[ZONES][ZONES];
+    private long now = 100 * SECOND;
+
+    private final class One {
+        private final String name;
+        private final int zone;
+        private final Level level;
+        private final Zones zones;
+        private final Map<Long, Boolean> away = new HashMap<>();
+        private final long[] triedAt = new long[ENGINES];
+        private final long[] heardAt = new long[ENGINES];
+        private final long[] failsSince = new long[ENGINES];
+        private final boolean[] closed = new boolean[ENGINES];
+        private final List<String> turns = new ArrayList<>();
+        private final Map<Integer, Long> turnedAt = new HashMap<>();
+        private boolean runs = true;
+
+        private One(int number, Zones.Fault fault) {
+            name = "m" + number;
+            zone = number % ZONES;
+            level = new Level(name, SECOND, (at, band, part) -> { }, Level.Fault.NONE);
+            zones = new Zones(name, zone, ZONES, WARM, new Zones.Effects() {
+                @Override
+                public void keepAway(long engine, boolean keepsAway, boolean restIsOver) {
+                    away.put(engine, keepsAway);
+                    if (restIsOver) {
+                        use((int) engine);
+                    }
+                }
+
+                @Override
+                public void turned(int which, String state) {
+                    turns.add(which + " " + state);
+                    turnedAt.put(which, now);
+                }
+            }, fault);
+        }
+
+        private boolean isAway(int engine) {
+            return away.getOrDefault((long) engine, false);
+        }
+
+        private void use(int engine) {
+            triedAt[engine] = now;
+            if (bears[zone][engine % ZONES]) {
+                heardAt[engine] = now;
+                failsSince[engine] = 0;
+                closed[engine] = false;
+            } else {
+                failsSince[engine] = failsSince[engine] == 0 ? now : failsSince[engine];
+                closed[engine] |= now - failsSince[engine] >= NOTICES;
+            }
+        }
+
+        private void step() {
+            for (int e = 0; e < ENGINES; e++) {
+                // One that it holds closed it tries now and then, as long as nobody keeps it away.
+                if (!isAway(e) && (!closed[e] || now - triedAt[e] >= 2 * SECOND)) {
+                    use(e);
+                }
+                zones.holds(e % ZONES, e, closed[e], triedAt[e], heardAt[e]);
+            }
+            level.sees(zone, zones.sees(now));
+            zones.look(now, level.table(now));
+        }
+
+        private int used(int which) {
+            int n = 0;
+            for (int e = 0; e < ENGINES; e++) {
+                n += e % ZONES == which && !isAway(e) ? 1 : 0;
+            }
+            return n;
+        }
+    }
+
+    private void fleet(int managers, Zones.Fault fault) {
+        for (int m = 0; m < managers; m++) {
+            all.add(new One(m, fault));
+        }
+        List<String> names = all.stream().map(o -> o.name).toList();
+        all.forEach(o -> {
+            o.level.viewed(names);
+            o.zones.viewed(names);
+        });
+        for (int from = 0; from < ZONES; from++) {
+            for (int to = 0; to < ZONES; to++) {
+                bears[from][to] = true;
+                talks[from][to] = true;
+            }
+        }
+    }
+
+    private void engines(int zone, boolean well) {
+        for (int from = 0; from < ZONES; from++) {
+            bears[from][zone] = well;
+        }
+    }
+
+    private void pass(double seconds) {
+        for (long until = now + (long) (seconds * SECOND); now < until; now += STEP) {
+            all.stream().filter(o -> o.runs).forEach(One::step);
+            if (now / STEP % 2 == 0) {
+                for (One o : all) {
+                    One other = all.get(chance.nextInt(all.size()));
+                    if (other != o && o.runs && other.runs && talks[o.zone][other.zone]) {
+                        other.level.heard(now, Words.read(Words.write(List.of(), o.level.rows(now, 20))).rows());
+                        o.level.heard(now, Words.read(Words.write(List.of(), other.level.rows(now, 20))).rows());
+                    }
+                }
+            }
+        }
+    }
+
+    private long leavings() {
+        return all.stream().mapToLong(o -> o.turns.stream().filter(t -> t.endsWith(" out")).count()).max().orElse(0);
+    }
+
+    /** Soon, by all in nearly the same moment, with a manager that goes on trying each engine. */
+    @Test
+    void aDeadZoneIsLeftByAllAndComeBackToInSteps() {
+        fleet(24, Zones.Fault.NONE);
+        pass(10);
+        engines(1, false);
+        long died = now;
+        pass(5);
+        assertThat(all).allMatch(o -> o.zones.out().equals(List.of(1)));
+        assertThat(all.stream().mapToLong(o -> o.turnedAt.get(1) - died)).allMatch(t -> t <= 2.5 * SECOND);
+        long first = all.stream().mapToLong(o -> o.turnedAt.get(1)).min().orElse(0);
+        assertThat(all.stream().mapToLong(o -> o.turnedAt.get(1) - first)).allMatch(t -> t <= 0.7 * SECOND);
+        assertThat(all.stream().mapToInt(o -> o.used(1)).sum()).isEqualTo(ENGINES / ZONES);
+        assertThat(all).allMatch(o -> o.used(0) + o.used(2) == 2 * ENGINES / ZONES);
+        pass(10);
+        engines(1, true);
+        // How many managers use all of it, second by second: it grows over the time that engines take to warm up.
+        Set<Integer> seen = new HashSet<>();
+        for (int s = 0; s < 15; s++) {
+            pass(1);
+            seen.add((int) all.stream().filter(o -> o.used(1) == ENGINES / ZONES).count());
+        }
+        assertThat(seen).hasSizeGreaterThan(4);
+        assertThat(all).allMatch(o -> o.zones.out().isEmpty() && o.used(1) == ENGINES / ZONES);
+    }
+
+    @Test
+    void aCutBetweenTwoZonesIsTheirsAlone() {
+        fleet(12, Zones.Fault.NONE);
+        pass(5);
+        bears[0][2] = false;
+        talks[0][2] = false;
+        pass(3);
+        bears[2][0] = false;
+        talks[2][0] = false;
+        pass(20);
+        assertThat(all).allMatch(o -> o.turns.isEmpty());
+    }
+
+    /** Engines of it are alive inside: those outside leave, those inside go on. */
+    @Test
+    void aZoneThatIsCutOffServesItself() {
+        fleet(12, Zones.Fault.NONE);
+        pass(5);
+        for (int z = 0; z < 2; z++) {
+            bears[z][2] = false;
+            bears[2][z] = false;
+            talks[z][2] = false;
+            talks[2][z] = false;
+        }
+        pass(10);
+        assertThat(all).allMatch(o -> o.zone == 2 ? !o.zones.out().contains(2) : o.zones.out().equals(List.of(2)));
+    }
+
+    @Test
+    void whereAllIsBadNobodyLeaves() {
+        fleet(12, Zones.Fault.NONE);
+        pass(5);
+        for (int z = 0; z < ZONES; z++) {
+            engines(z, false);
+        }
+        pass(20);
+        assertThat(all).allMatch(o -> o.turns.isEmpty());
+    }
+
+    @Test
+    void ofThreeZonesTwoMayFailAndTheLastStays() {
+        fleet(12, Zones.Fault.NONE);
+        pass(5);
+        engines(0, false);
+        engines(1, false);
+        pass(10);
+        assertThat(all).allMatch(o -> o.zones.out().equals(List.of(0, 1)) && o.used(2) == ENGINES / ZONES);
+        engines(2, false);
+        pass(10);
+        assertThat(all).allMatch(o -> o.used(2) == ENGINES / ZONES);
+    }
+
+    @Test
+    void aZoneThatFlapsIsHeldOutLongerEachTime() {
+        fleet(12, Zones.Fault.NONE);
+        pass(5);
+        for (int s = 0; s < 120; s += 3) {
+            engines(1, s / 3 % 2 == 1);
+            pass(3);
+        }
+        assertThat(leavings()).isBetween(1L, 4L);
+        engines(1, true);
+        pass(90);
+        assertThat(all).allMatch(o -> o.zones.out().isEmpty());
+    }
+
+    /** A release takes a third of its engines, a rack half: that is no zone. */
+    @Test
+    void someBadEnginesAreNoZone() {
+        fleet(12, Zones.Fault.NONE);
+        pass(5);
+        all.forEach(o -> {
+            o.closed[1] = true;
+            o.closed[4] = true;
+            o.triedAt[1] = now + 30 * SECOND;
+            o.triedAt[4] = now + 30 * SECOND;
+        });
+        pass(20);
+        assertThat(all).allMatch(o -> o.turns.isEmpty());
+    }
+
+    /** All managers of two zones stood still; on waking they hold all engines of the third for closed. */
+    private void paused() {
+        pass(5);
+        List<One> still = all.stream().filter(o -> o.zone != 2).toList();
+        still.forEach(o -> o.runs = false);
+        pass(3);
+        still.forEach(o -> {
+            o.runs = true;
+            for (int e = 2; e < ENGINES; e += ZONES) {
+                o.closed[e] = true;
+                o.triedAt[e] = now - SECOND / 2;
+            }
+        });
+        pass(1.4);
+    }
+
+    @Test
+    void whoStoodStillHasNoVoice() {
+        fleet(12, Zones.Fault.NONE);
+        paused();
+        assertThat(all).allMatch(o -> o.turns.isEmpty());
+    }
+
+    @ParameterizedTest
+    @EnumSource(value = Zones.Fault.class, mode = EnumSource.Mode.EXCLUDE, names = "NONE")
+    void faultsAreFound(Zones.Fault fault) {
+        fleet(12, fault);
+        if (fault == Zones.Fault.STILL_COUNTS) {
+            paused();
+            assertThat(all).anyMatch(o -> !o.turns.isEmpty());
+            return;
+        }
+        pass(5);
+        switch (fault) {
+            case ONE_IS_ENOUGH -> {
+                bears[0][2] = false;
+                pass(10);
+                assertThat(all).anyMatch(o -> !o.turns.isEmpty());
+            }
+            case ALL_MAY_GO -> {
+                for (int z = 0; z < ZONES; z++) {
+                    engines(z, false);
+                }
+                pass(10);
+                assertThat(all).anyMatch(o -> o.zones.out().size() == ZONES);
+            }
+            case NO_HOLD -> {
+                for (int s = 0; s < 120; s += 3) {
+                    engines(1, s / 3 % 2 == 1);
+                    pass(3);
+                }
+                assertThat(leavings()).isGreaterThan(4);
+            }
+            case NOBODY_TRIES -> {
+                engines(1, false);
+                pass(10);
+                engines(1, true);
+                pass(30);
+                assertThat(all).anyMatch(o -> !o.zones.out().isEmpty());
+            }
+            default -> {
+                engines(1, false);
+                pass(10);
+                engines(1, true);
+                Set<Integer> seen = new HashSet<>();
+                for (int s = 0; s < 20; s++) {
+                    pass(1);
+                    seen.add((int) all.stream().filter(o -> o.used(1) == ENGINES / ZONES).count());
+                }
+                assertThat(seen).hasSizeLessThan(5);
+            }
+        }
+    }
+}
--- a/src/test/java/firstage/overload/TrialsTest.java
+++ b/src/test/java/firstage/overload/TrialsTest.java
@@ -176,7 +176,7 @@
         double[] came = new double[Demand.BANDS];
         came[3] = 0.5;
         came[31] = 4_000;
-        Level.Row row = new Level.Row(-7, 1 << 31, came, 17.3, 0.002, 96);
+        Level.Row row = new Level.Row(-7, 1 << 31, came, 17.3, 0.002, 96, 2, new int[] {0, 255, 60});
         byte[] good = Words.write(List.of(new Words.Word(7, true, 5), new Words.Word(1L << 40, false, 0)),
                 List.of(row, row));
         assertThat(Words.read(good).words()).hasSize(2);
@@ -186,6 +186,8 @@
         assertThat(read.sent()).isCloseTo(17.3, Percentage.withPercentage(5));
         assertThat(read.came()[31]).isCloseTo(4_000, Percentage.withPercentage(5));
         assertThat(read.came()[4]).isZero();
+        assertThat(read.zone()).isEqualTo(2);
+        assertThat(read.bad()).containsExactly(0, 255, 60);
         assertThat(Words.read(new byte[0]).words()).isEmpty();
         assertThat(Words.write(List.of(), List.of())).isEmpty();
         for (int i = 0; i < 20_000; i++) {
