--- a/src/main/java/firstage/evacuation/Zones.java
+++ b/src/main/java/firstage/evacuation/Zones.java
@@ -33,7 +33,7 @@
     private static final long ANSWERS = 20_000; // within this a usual batch comes back: before, a trial says nothing
     private static final long SURE = 5_000; // a verdict lasts before it is acted on: one late answer passes
     private static final long WELL_FOR = 20_000; // before the way back: a flap of 3 s does not look like it
-    private static final long FIRST_HOLD = 100_000; // out at least: flaps of 3 s get four in two minutes; doubled up to ...
+    private static final long FIRST_HOLD = 100_000; // out at least: four flaps in two minutes; doubled up to ...
     private static final long MOST_HOLD = 600_000; // ... this: a zone that is well is back within a minute
     private static final long FORGIVEN = 600_000; // in use so long, and the next failure counts as the first
     private static final long LEAST_RAMP = 20_000; // for the way back; else as long as engines take to warm up
--- a/src/main/java/firstage/net/members/Peers.java
+++ b/src/main/java/firstage/net/members/Peers.java
@@ -204,11 +204,7 @@
             out.writeNumberField("share", leases.share(now));
             out.writeNumberField("trials withheld", trials.withheld());
             out.writeNumberField("cut", level.cut());
-            out.writeArrayFieldStart("zones left");
-            for (int zone : zones.out()) {
-                out.writeNumber(zone);
-            }
-            out.writeEndArray();
+            out.writeStringField("zones left", zones.out().toString());
             out.writeArrayFieldStart("members");
             for (Entry e : members.entries()) {
                 out.writeStartObject();
--- a/src/main/java/firstage/overload/Level.java
+++ b/src/main/java/firstage/overload/Level.java
@@ -53,8 +53,8 @@
 
     /**
      * What one manager tells of itself. {@code name}: a hash; {@code stamp}: of its own clock, the later is the newer;
-     * {@code came} by band, {@code sent}: rates; {@code waits}: seconds of work; {@code runs}: threads; {@code zone}: its
-     * own; {@code bad}: by zone, per cent of its engines that it holds closed ({@link firstage.evacuation.Zones}).
+     * {@code came} by band, {@code sent}: rates; {@code waits}: seconds of work; {@code runs}: threads; {@code zone}:
+     * its own; {@code bad}: by zone, per cent of its engines that it holds closed ({@link firstage.evacuation.Zones}).
      */
     public record Row(int name, int stamp, double[] came, double sent, double waits, double runs, int zone,
                       int[] bad) {
