--- a/src/main/java/firstage/app/Main.java
+++ b/src/main/java/firstage/app/Main.java
@@ -29,6 +29,8 @@
             System.exit(Fleet.run(Arrays.copyOfRange(args, 1, args.length)));
         } else if (args.length >= 1 && args[0].equals("peers")) {
             System.exit(PeersView.run(Arrays.copyOfRange(args, 1, args.length)));
+        } else if (args.length >= 1 && args[0].equals("zones")) {
+            System.exit(ZonesOrder.run(Arrays.copyOfRange(args, 1, args.length)));
         } else if (args.length >= 1 && args[0].equals("yard")) {
             System.exit(Yard.run(Arrays.copyOfRange(args, 1, args.length)));
         } else if (args.length >= 3 && args.length <= 4 && args[0].equals("hostile")) {
@@ -39,7 +41,7 @@
             }
         } else {
             end("usage: java -jar firstage.jar benchlink | serve [--peers FILE] | rehearse"
-                    + " | hostile FIRST COUNT [FAULT] | fleet | yard | peers");
+                    + " | hostile FIRST COUNT [FAULT] | fleet | yard | peers | zones");
         }
     }
 
--- a/src/main/java/firstage/app/PeersView.java
+++ b/src/main/java/firstage/app/PeersView.java
@@ -39,7 +39,7 @@
 
     @Override
     public Integer call() throws IOException {
-        String answer = ask(firstage.net.Assignment.address(address));
+        String answer = ask(firstage.net.Assignment.address(address), Peers.ASKED);
         boolean agreed = answer.contains("\"agreed\":true");
         if (json) {
             System.out.println(answer);
@@ -49,11 +49,12 @@
         return agreed ? 0 : 1;
     }
 
-    private static String ask(InetSocketAddress at) throws IOException {
+    /** Sends it until an answer comes: the manager's view. */
+    static String ask(InetSocketAddress at, String what) throws IOException {
         if (!at.getAddress().isLoopbackAddress()) {
             throw new IOException(at.getAddress().getHostAddress() + " is not on this machine; ask there");
         }
-        byte[] asked = Peers.ASKED.getBytes(StandardCharsets.US_ASCII);
+        byte[] asked = what.getBytes(StandardCharsets.UTF_8);
         try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
             socket.setSoTimeout(ANSWER_MS);
             DatagramPacket answer = new DatagramPacket(new byte[MOST], MOST);
--- a/src/main/java/firstage/evacuation/Zones.java
+++ b/src/main/java/firstage/evacuation/Zones.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.stream.IntStream;
 import net.openhft.hashing.LongHashFunction;
 
 /**
@@ -39,17 +41,23 @@
     private static final long LEAST_RAMP = 20_000; // for the way back; else as long as engines take to warm up
     private static final long TRY_EVERY = 20_000; // by an engine's owner: a batch in two seconds, whatever the fleet
     private static final double USED = 1 / 3.0; // of all zones stay in use at least
+    private static final long STAMP = 100;
     private static final long STOOD_STILL = 10_000; // between two looks: then what is known is old
 
     private enum State { IN, OUT, BACK }
 
-    private enum Event { BAD, WELL, DUE }
+    private enum Event { BAD, WELL, DUE, ORDERED }
+
+    /** What an operator wants of a zone: by its health, out whatever its health, or in whatever it is. */
+    public enum Order { NONE, LEAVE, HOLD }
 
     private record Row(State state, Event event, State next) {
     }
 
     private static final Row[] TABLE = {
         new Row(State.IN, Event.BAD, State.OUT),
+        new Row(State.IN, Event.ORDERED, State.OUT),
+        new Row(State.BACK, Event.ORDERED, State.OUT),
         new Row(State.OUT, Event.WELL, State.BACK),
         new Row(State.BACK, Event.BAD, State.OUT),
         new Row(State.BACK, Event.DUE, State.IN),
@@ -65,7 +73,9 @@
     }
 
     /** Faults put back one at a time. */
-    public enum Fault { NONE, ONE_IS_ENOUGH, ALL_MAY_GO, ALL_AT_ONCE, NO_HOLD, STILL_COUNTS, NOBODY_TRIES }
+    public enum Fault {
+        NONE, ONE_IS_ENOUGH, ALL_MAY_GO, ALL_AT_ONCE, NO_HOLD, STILL_COUNTS, NOBODY_TRIES, ORDER_FORGOTTEN
+    }
 
     private static final class Known {
         private final int zone;
@@ -86,6 +96,9 @@
         private long badSince = -1;
         private long wellSince = -1;
         private long hold = FIRST_HOLD;
+        private Order order = Order.NONE;
+        /** Of the clock of the manager that was asked, in steps of 10 ms; 0 where nobody ever was. */
+        private int orderedAt;
     }
 
     private final String me;
@@ -147,6 +160,34 @@
         }
     }
 
+    /** An operator asked this manager; it tells the others, and each that hears it tells it on. */
+    public void order(long now, int zone, Order order) {
+        zones[zone].order = order;
+        zones[zone].orderedAt = (int) (now / STAMP);
+    }
+
+    /** The orders that are known, to be told with the rest; three figures each: zone, order, when. */
+    public int[] orders() {
+        return IntStream.range(0, zones.length).filter(z -> zones[z].orderedAt != 0)
+                .flatMap(z -> IntStream.of(z, zones[z].order.ordinal(), zones[z].orderedAt)).toArray();
+    }
+
+    /** The later order counts: so one that was asked and started anew hears its own again. */
+    private void heed(List<Level.Row> rows) {
+        for (Level.Row r : rows) {
+            for (int i = 0; i + 2 < r.orders().length && fault != Fault.ORDER_FORGOTTEN; i += 3) {
+                int zone = r.orders()[i];
+                int order = r.orders()[i + 1];
+                int at = r.orders()[i + 2];
+                boolean known = zone >= 0 && zone < zones.length && order >= 0 && order < Order.values().length;
+                if (known && (zones[zone].orderedAt == 0 || at - zones[zone].orderedAt > 0)) {
+                    zones[zone].order = Order.values()[order];
+                    zones[zone].orderedAt = at;
+                }
+            }
+        }
+    }
+
     /** What this manager tells: by zone, per cent of the engines it knows of late that it holds closed. */
     public int[] sees(long now) {
         awake(now);
@@ -190,6 +231,7 @@
     /** Looks at all zones, each tenth of a second or so; {@code rows}: of all that are fresh, its own included. */
     public void look(long now, List<Level.Row> rows) {
         awake(now);
+        heed(rows);
         boolean[] bad = new boolean[zones.length];
         int worst = 0;
         for (int z = 0; z < zones.length; z++) {
@@ -240,7 +282,9 @@
         z.badSince = !bad ? -1 : z.badSince < 0 ? now : z.badSince;
         z.wellSince = !well ? -1 : z.wellSince < 0 ? now : z.wellSince;
         boolean held = now - z.since < z.hold && fault != Fault.NO_HOLD;
-        Event event = bad && now - z.badSince >= SURE ? Event.BAD
+        Event event = z.order == Order.LEAVE ? Event.ORDERED
+                : z.order == Order.HOLD && z.state == State.OUT ? Event.WELL
+                : bad && now - z.badSince >= SURE && z.order != Order.HOLD ? Event.BAD
                 : z.state == State.OUT && well && now - z.wellSince >= WELL_FOR && !held ? Event.WELL
                 : z.state == State.BACK && now - z.since >= ramp ? Event.DUE : null;
         for (Row row : TABLE) {
@@ -248,7 +292,7 @@
                 if (row.next == State.OUT) {
                     // Failed on its way back, or soon after: longer out. In use for long, it is forgiven.
                     boolean again = row.state == State.BACK || z.since > 0 && now - z.since < FORGIVEN;
-                    z.hold = again ? Math.min(MOST_HOLD, 2 * z.hold) : FIRST_HOLD;
+                    z.hold = event == Event.ORDERED ? 0 : again ? Math.min(MOST_HOLD, 2 * z.hold) : FIRST_HOLD;
                 }
                 z.state = row.next;
                 z.since = now;
@@ -281,6 +325,17 @@
         return (double) before / Math.max(1, view.size());
     }
 
+    /** By zone, what operators want. */
+    public Map<Integer, Order> ordered() {
+        Map<Integer, Order> ordered = new TreeMap<>();
+        for (int z = 0; z < zones.length; z++) {
+            if (zones[z].order != Order.NONE) {
+                ordered.put(z, zones[z].order);
+            }
+        }
+        return ordered;
+    }
+
     /** The zones that are left, or on the way back. */
     public List<Integer> out() {
         List<Integer> out = new ArrayList<>();
--- a/src/main/java/firstage/fleet/ManagerModel.java
+++ b/src/main/java/firstage/fleet/ManagerModel.java
@@ -211,7 +211,7 @@
             }
             trials.look(calendar.now());
             level.measure(calendar.now(), manager.demand(calendar.now()));
-            level.sees(zones.mine(), zones.sees(calendar.now()));
+            level.sees(zones.mine(), zones.sees(calendar.now()), zones.orders());
             level.look(calendar.now());
             zones.look(calendar.now(), level.table(calendar.now()));
             calendar.in(LOOK, () -> look(mine));
--- a/src/main/java/firstage/net/members/Peers.java
+++ b/src/main/java/firstage/net/members/Peers.java
@@ -32,6 +32,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
+import java.util.stream.Collectors;
 import java.util.random.RandomGeneratorFactory;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -44,6 +45,8 @@
 public final class Peers implements Members.Carrier {
     /** What a view is asked for by, from this machine only. */
     public static final String ASKED = "firstage view 1";
+    /** What an order begins with; what is wanted and the zone's name follow. */
+    public static final String ORDERED = "firstage zone 1";
     private static final Logger LOG = Logger.getLogger(Peers.class.getName());
     private static final int TICK_MS = 20;
     private static final int MOST = 1_200;
@@ -61,6 +64,7 @@
     private final Trials trials;
     private final Level level;
     private final Zones zones;
+    private final List<String> areas;
     private final Map<InetSocketAddress, Integer> seeds = new HashMap<>();
     private final ByteBuffer shared = ByteBuffer.allocateDirect(MOST + 1);
     private final SocketAddressBuffer from = new SocketAddressBuffer();
@@ -83,7 +87,8 @@
         Deployment deployment = assignment.deployment();
         long goal = deployment.groups().stream().mapToLong(ServiceGroup::goal).min().orElse(1);
         level = new Level(list.name(), goal, effects, Level.Fault.NONE);
-        zones = new Zones(list.name(), deployment.zone(), assignment.settings().text("areas", "").split(",").length,
+        areas = List.of(assignment.settings().text("areas", "").split(","));
+        zones = new Zones(list.name(), deployment.zone(), areas.size(),
                 deployment.rules().warmAfter(), new Zones.Effects() {
                     @Override
                     public void keepAway(long engine, boolean away, boolean restIsOver) {
@@ -181,6 +186,8 @@
                 } else if (source.getAddress().isLoopbackAddress()
                         && Arrays.equals(bytes, ASKED.getBytes(StandardCharsets.US_ASCII))) {
                     channel.sendTo(source, ByteBuffer.wrap(told().getBytes(StandardCharsets.UTF_8)));
+                } else if (source.getAddress().isLoopbackAddress() && ordered(bytes)) {
+                    channel.sendTo(source, ByteBuffer.wrap(told().getBytes(StandardCharsets.UTF_8)));
                 } else {
                     counters.count("datagrams from nobody");
                 }
@@ -190,6 +197,23 @@
         }
     }
 
+    /** An operator's order, {@code firstage zone 1 leave north}; false where it is none that can be used. */
+    private boolean ordered(byte[] bytes) {
+        String[] words = new String(bytes, StandardCharsets.UTF_8).split(" ", 5);
+        int zone = words.length < 5 ? -1 : areas.indexOf(words[4]);
+        if (zone < 0 || !String.join(" ", List.of(words).subList(0, 3)).equals(ORDERED)) {
+            return false;
+        }
+        for (Zones.Order order : Zones.Order.values()) {
+            if (order.name().toLowerCase(Locale.ROOT).equals(words[3])) {
+                LOG.info(() -> "zone {\"zone\":" + zone + ",\"ordered\":\"" + words[3] + "\"}");
+                zones.order(clock.now(), zone, order);
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** What it knows, as JSON. */
     private String told() throws IOException {
         long now = clock.now();
@@ -204,7 +228,10 @@
             out.writeNumberField("share", leases.share(now));
             out.writeNumberField("trials withheld", trials.withheld());
             out.writeNumberField("cut", level.cut());
-            out.writeStringField("zones left", zones.out().toString());
+            out.writeStringField("zones left", zones.out().stream().map(areas::get).collect(Collectors.joining(" ")));
+            out.writeStringField("zones ordered", zones.ordered().entrySet().stream()
+                    .map(e -> areas.get(e.getKey()) + " " + e.getValue().name().toLowerCase(Locale.ROOT))
+                    .collect(Collectors.joining(" ")));
             out.writeArrayFieldStart("members");
             for (Entry e : members.entries()) {
                 out.writeStartObject();
@@ -293,7 +320,7 @@
         long now = clock.now();
         trials.look(now);
         level.measure(now, demand);
-        level.sees(zones.mine(), zones.sees(now));
+        level.sees(zones.mine(), zones.sees(now), zones.orders());
         level.look(now);
         zones.look(now, level.table(now));
     }
--- a/src/main/java/firstage/overload/Level.java
+++ b/src/main/java/firstage/overload/Level.java
@@ -54,10 +54,11 @@
     /**
      * What one manager tells of itself. {@code name}: a hash; {@code stamp}: of its own clock, the later is the newer;
      * {@code came} by band, {@code sent}: rates; {@code waits}: seconds of work; {@code runs}: threads; {@code zone}:
-     * its own; {@code bad}: by zone, per cent of its engines that it holds closed ({@link firstage.evacuation.Zones}).
+     * its own; {@code bad}: by zone, per cent of its engines that it holds closed; {@code orders}: what operators want
+     * of zones ({@link firstage.evacuation.Zones}).
      */
     public record Row(int name, int stamp, double[] came, double sent, double waits, double runs, int zone,
-                      int[] bad) {
+                      int[] bad, int[] orders) {
     }
 
     private record Told(Row row, long at) {
@@ -82,6 +83,7 @@
     private int turn;
     private int zone;
     private int[] bad = new int[0];
+    private int[] orders = new int[0];
     private int cut;
     private double part = 1;
 
@@ -131,7 +133,7 @@
     }
 
     private Row mine(long now) {
-        return new Row(me, (int) (now / STAMP), came.clone(), sent, waits, runs, zone, bad);
+        return new Row(me, (int) (now / STAMP), came.clone(), sent, waits, runs, zone, bad, orders);
     }
 
     /** What this manager's own decisions count, to be told each tenth of a second or so. */
@@ -156,9 +158,10 @@
     }
 
     /** What it sees of the zones, to be told with the rest. */
-    public void sees(int ownZone, int[] badByZone) {
+    public void sees(int ownZone, int[] badByZone, int[] ordersOfZones) {
         zone = ownZone;
         bad = badByZone;
+        orders = ordersOfZones;
     }
 
     /** All fresh rows, its own first. */
--- a/src/main/java/firstage/overload/Words.java
+++ b/src/main/java/firstage/overload/Words.java
@@ -24,7 +24,7 @@
     private static final int WORD_BYTES = 14;
     private static final int ROW_BYTES = 26;
     private static final int LEAST_ROWS = 6;
-    private static final int ROW_HEAD = 17;
+    private static final int ROW_HEAD = 18;
     /** A thousandth of a core; with eight steps an octave a byte reaches four million. */
     private static final double LEAST = 0.001;
     private static final double STEPS = 8;
@@ -77,7 +77,7 @@
 
     /**
      * Each: name, stamp, sent, waits, runs, a bit for each band that was asked for, its zone, what it sees
-     * of each, and those bands' figures.
+     * of each, operators' orders, and those bands' figures.
      */
     private static byte[] bytes(List<Level.Row> rows) {
         ByteArrayOutputStream out = new ByteArrayOutputStream(rows.size() * ROW_BYTES);
@@ -94,9 +94,13 @@
             put(out, asked);
             out.write(r.zone());
             out.write(r.bad().length);
+            out.write(r.orders().length);
             for (int share : r.bad()) {
                 out.write(share);
             }
+            for (int figure : r.orders()) {
+                put(out, figure);
+            }
             for (int band = 0; band < Demand.BANDS; band++) {
                 if ((asked & 1 << band) != 0) {
                     out.write(coarse(r.came()[band]));
@@ -124,15 +128,20 @@
         List<Level.Row> rows = new ArrayList<>();
         int at = 0;
         while (in.length - at >= ROW_HEAD) {
-            int asked = number(in, at + ROW_HEAD - Integer.BYTES - 2);
+            int asked = number(in, at + ROW_HEAD - Integer.BYTES - 3);
             int next = at + ROW_HEAD;
-            int[] bad = new int[Byte.toUnsignedInt(in[next - 1])];
-            if (in.length - next < bad.length + Integer.bitCount(asked)) {
+            int[] bad = new int[Byte.toUnsignedInt(in[next - 2])];
+            int[] orders = new int[Byte.toUnsignedInt(in[next - 1])];
+            if (in.length - next < bad.length + orders.length * Integer.BYTES + Integer.bitCount(asked)) {
                 return List.of();
             }
             for (int zone = 0; zone < bad.length; zone++) {
                 bad[zone] = Byte.toUnsignedInt(in[next++]);
             }
+            for (int i = 0; i < orders.length; i++) {
+                orders[i] = number(in, next);
+                next += Integer.BYTES;
+            }
             double[] came = new double[Demand.BANDS];
             for (int band = 0; band < Demand.BANDS; band++) {
                 came[band] = (asked & 1 << band) != 0 ? fine(in[next++]) : 0;
@@ -140,7 +149,7 @@
             int figures = at + 2 * Integer.BYTES;
             rows.add(new Level.Row(number(in, at), number(in, at + Integer.BYTES), came, fine(in[figures]),
                     fine(in[figures + 1]), fine(in[figures + 2]),
-                    Byte.toUnsignedInt(in[at + ROW_HEAD - 2]), bad));
+                    Byte.toUnsignedInt(in[at + ROW_HEAD - 3]), bad, orders));
             at = next;
         }
         return rows;
--- a/src/test/java/firstage/evacuation/ZonesTest.java
+++ b/src/test/java/firstage/evacuation/ZonesTest.java
@@ -91,7 +91,7 @@
                 }
                 zones.holds(e % ZONES, e, closed[e], triedAt[e], heardAt[e]);
             }
-            level.sees(zone, zones.sees(now));
+            level.sees(zone, zones.sees(now), zones.orders());
             zones.look(now, level.table(now));
         }
 
@@ -276,6 +276,37 @@
         assertThat(all).allMatch(o -> o.turns.isEmpty());
     }
 
+    /** Told to one, known to all, also to the one when it starts anew; and taken back. */
+    @Test
+    void anOperatorsWordIsHeededByAllAndOutlivesTheOneThatWasAsked() {
+        fleet(12, Zones.Fault.NONE);
+        pass(5);
+        all.get(4).zones.order(now, 2, Zones.Order.LEAVE);
+        pass(3);
+        assertThat(all).allMatch(o -> o.zones.out().equals(List.of(2)));
+        restart(4, Zones.Fault.NONE);
+        pass(3);
+        assertThat(all).allMatch(o -> o.zones.out().equals(List.of(2)));
+        pass(30);
+        assertThat(all).allMatch(o -> o.zones.out().equals(List.of(2)));
+        all.get(7).zones.order(now, 2, Zones.Order.HOLD);
+        pass(15);
+        assertThat(all).allMatch(o -> o.zones.out().isEmpty());
+        engines(2, false);
+        pass(20);
+        assertThat(all).allMatch(o -> o.zones.out().isEmpty());
+        all.get(1).zones.order(now, 2, Zones.Order.NONE);
+        pass(5);
+        assertThat(all).allMatch(o -> o.zones.out().equals(List.of(2)));
+    }
+
+    private void restart(int number, Zones.Fault fault) {
+        all.set(number, new One(number, fault));
+        List<String> names = all.stream().map(o -> o.name).toList();
+        all.get(number).level.viewed(names);
+        all.get(number).zones.viewed(names);
+    }
+
     @ParameterizedTest
     @EnumSource(value = Zones.Fault.class, mode = EnumSource.Mode.EXCLUDE, names = "NONE")
     void faultsAreFound(Zones.Fault fault) {
@@ -306,6 +337,13 @@
                 }
                 assertThat(leavings()).isGreaterThan(4);
             }
+            case ORDER_FORGOTTEN -> {
+                all.get(4).zones.order(now, 2, Zones.Order.LEAVE);
+                pass(3);
+                restart(4, fault);
+                pass(3);
+                assertThat(all).anyMatch(o -> o.zones.out().isEmpty());
+            }
             case NOBODY_TRIES -> {
                 engines(1, false);
                 pass(10);
--- a/src/test/java/firstage/overload/LevelTest.java
+++ b/src/test/java/firstage/overload/LevelTest.java
@@ -88,7 +88,7 @@
                 double[] came = new double[Demand.BANDS];
                 came[Demand.BANDS - 1] = 1e5;
                 rows.set(0, new Level.Row(rows.get(0).name(), rows.get(0).stamp(), came, 0, 1e5, 1e5,
-                        0, new int[0]));
+                        0, new int[0], new int[0]));
             }
             sent.add(rows);
             return sent.size() > late ? sent.get(sent.size() - 1 - late) : List.of();
--- a/src/test/java/firstage/overload/TrialsTest.java
+++ b/src/test/java/firstage/overload/TrialsTest.java
@@ -176,7 +176,8 @@
         double[] came = new double[Demand.BANDS];
         came[3] = 0.5;
         came[31] = 4_000;
-        Level.Row row = new Level.Row(-7, 1 << 31, came, 17.3, 0.002, 96, 2, new int[] {0, 255, 60});
+        Level.Row row = new Level.Row(-7, 1 << 31, came, 17.3, 0.002, 96, 2, new int[] {0, 255, 60},
+                new int[] {1, 2, -9});
         byte[] good = Words.write(List.of(new Words.Word(7, true, 5), new Words.Word(1L << 40, false, 0)),
                 List.of(row, row));
         assertThat(Words.read(good).words()).hasSize(2);
@@ -188,6 +189,7 @@
         assertThat(read.came()[4]).isZero();
         assertThat(read.zone()).isEqualTo(2);
         assertThat(read.bad()).containsExactly(0, 255, 60);
+        assertThat(read.orders()).containsExactly(1, 2, -9);
         assertThat(Words.read(new byte[0]).words()).isEmpty();
         assertThat(Words.write(List.of(), List.of())).isEmpty();
         for (int i = 0; i < 20_000; i++) {
