--- a/src/main/java/firstage/net/members/Peers.java
+++ b/src/main/java/firstage/net/members/Peers.java
@@ -2,11 +2,16 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import firstage.door.Demand;
+import firstage.door.Deployment;
+import firstage.door.ServiceGroup;
+import firstage.evacuation.Zones;
 import firstage.members.Entry;
 import firstage.members.Leases;
 import firstage.members.Members;
 import firstage.members.Standing;
 import firstage.members.View;
+import firstage.net.Assignment;
 import firstage.net.Clock;
 import firstage.net.Counters;
 import firstage.overload.Level;
@@ -27,6 +32,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
+import java.util.stream.Collectors;
 import java.util.random.RandomGeneratorFactory;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -39,6 +45,8 @@
 public final class Peers implements Members.Carrier {
     /** What a view is asked for by, from this machine only. */
     public static final String ASKED = "firstage view 1";
+    /** What an order begins with; what is wanted and the zone's name follow. */
+    public static final String ORDERED = "firstage zone 1";
     private static final Logger LOG = Logger.getLogger(Peers.class.getName());
     private static final int TICK_MS = 20;
     private static final int MOST = 1_200;
@@ -55,6 +63,8 @@
     private final Leases leases;
     private final Trials trials;
     private final Level level;
+    private final Zones zones;
+    private final List<String> areas;
     private final Map<InetSocketAddress, Integer> seeds = new HashMap<>();
     private final ByteBuffer shared = ByteBuffer.allocateDirect(MOST + 1);
     private final SocketAddressBuffer from = new SocketAddressBuffer();
@@ -64,15 +74,35 @@
     private long wokeAt = Long.MIN_VALUE / 4;
     private long stoppedFor;
 
-    /**
-     * {@code all}: how many managers the settings tell of; {@code started}: Unix ms, the number of this life;
-     * {@code goal}: the shortest of a service group.
-     */
-    public Peers(PeerList list, int all, long seed, long started, XnioIoThread io, Clock clock, Counters counters,
-                 Trials.Effects effects, long goal, Level.Effects cut) {
+    /** What the managers together decide for this one. */
+    public interface Effects extends Level.Effects {
+        /** Whether it keeps away from an engine; where {@code restIsOver}, the engine is to be tried now. */
+        void keepAway(long engine, boolean away, boolean restIsOver);
+    }
+
+    /** {@code started}: Unix ms, the number of this life. */
+    public Peers(PeerList list, Assignment assignment, long started, XnioIoThread io, Clock clock, Counters counters,
+                 Effects effects) {
         this.list = list;
-        level = new Level(list.name(), goal, cut, Level.Fault.NONE);
-        trials = new Trials(list.name(), list.period(), effects, Trials.Fault.NONE);
+        Deployment deployment = assignment.deployment();
+        long goal = deployment.groups().stream().mapToLong(ServiceGroup::goal).min().orElse(1);
+        level = new Level(list.name(), goal, effects, Level.Fault.NONE);
+        areas = List.of(assignment.settings().text("areas", "").split(","));
+        zones = new Zones(list.name(), deployment.zone(), areas.size(),
+                deployment.rules().warmAfter(), new Zones.Effects() {
+                    @Override
+                    public void keepAway(long engine, boolean away, boolean restIsOver) {
+                        effects.keepAway(engine, away, restIsOver);
+                    }
+
+                    @Override
+                    public void turned(int zone, String state) {
+                        LOG.info(() -> "zone {\"zone\":" + zone + ",\"is\":\"" + state + "\"}");
+                    }
+                }, Zones.Fault.NONE);
+        trials = new Trials(list.name(), list.period(), zones::othersTry, Trials.Fault.NONE);
+        int all = deployment.managers();
+        long seed = deployment.seed();
         this.io = io;
         this.clock = clock;
         this.counters = counters;
@@ -156,6 +186,8 @@
                 } else if (source.getAddress().isLoopbackAddress()
                         && Arrays.equals(bytes, ASKED.getBytes(StandardCharsets.US_ASCII))) {
                     channel.sendTo(source, ByteBuffer.wrap(told().getBytes(StandardCharsets.UTF_8)));
+                } else if (source.getAddress().isLoopbackAddress() && ordered(bytes)) {
+                    channel.sendTo(source, ByteBuffer.wrap(told().getBytes(StandardCharsets.UTF_8)));
                 } else {
                     counters.count("datagrams from nobody");
                 }
@@ -165,6 +197,23 @@
         }
     }
 
+    /** An operator's order, {@code firstage zone 1 leave north}; false where it is none that can be used. */
+    private boolean ordered(byte[] bytes) {
+        String[] words = new String(bytes, StandardCharsets.UTF_8).split(" ", 5);
+        int zone = words.length < 5 ? -1 : areas.indexOf(words[4]);
+        if (zone < 0 || !String.join(" ", List.of(words).subList(0, 3)).equals(ORDERED)) {
+            return false;
+        }
+        for (Zones.Order order : Zones.Order.values()) {
+            if (order.name().toLowerCase(Locale.ROOT).equals(words[3])) {
+                LOG.info(() -> "zone {\"zone\":" + zone + ",\"ordered\":\"" + words[3] + "\"}");
+                zones.order(clock.now(), zone, order);
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** What it knows, as JSON. */
     private String told() throws IOException {
         long now = clock.now();
@@ -179,6 +228,10 @@
             out.writeNumberField("share", leases.share(now));
             out.writeNumberField("trials withheld", trials.withheld());
             out.writeNumberField("cut", level.cut());
+            out.writeStringField("zones left", zones.out().stream().map(areas::get).collect(Collectors.joining(" ")));
+            out.writeStringField("zones ordered", zones.ordered().entrySet().stream()
+                    .map(e -> areas.get(e.getKey()) + " " + e.getValue().name().toLowerCase(Locale.ROOT))
+                    .collect(Collectors.joining(" ")));
             out.writeArrayFieldStart("members");
             for (Entry e : members.entries()) {
                 out.writeStartObject();
@@ -230,6 +283,7 @@
     public void changed(long now, View view) {
         trials.viewed(view.names());
         level.viewed(view.names());
+        zones.viewed(view.names());
         LOG.info(() -> "view {\"number\":" + view.number() + ",\"members\":\"" + String.join(" ", view.names())
                 + "\",\"share\":" + String.format(Locale.ROOT, "%.4f", leases.share(now)) + "}");
     }
@@ -252,13 +306,28 @@
         level.heard(now, told.rows());
     }
 
-    /** What the fleet has no room for; on the I/O thread. */
-    public Level level() {
-        return level;
+    /**
+     * How this manager's decisions hold an engine of the list; {@code triedAt}, {@code heardAt}: when a batch last went
+     * there, when it last spoke. On the I/O thread, as all calls.
+     */
+    public void holds(int zone, long engine, boolean shut, long triedAt, long heardAt) {
+        trials.holds(clock.now(), engine, shut, triedAt, heardAt);
+        zones.holds(zone, engine, shut, triedAt, heardAt);
+    }
+
+    /** Works out what all do together, from what this manager was asked for and what the others told. */
+    public void look(Demand demand) {
+        long now = clock.now();
+        trials.look(now);
+        level.measure(now, demand);
+        level.sees(zones.mine(), zones.sees(now), zones.orders());
+        level.look(now);
+        zones.look(now, level.table(now));
     }
 
-    /** Who tries which sick engine; on the I/O thread. */
-    public Trials trials() {
-        return trials;
+    /** The engine is off the list. */
+    public void forget(long engine) {
+        trials.forget(engine);
+        zones.forget(engine);
     }
 }
