Zones: who comes late goes along; the way back is set out on together

Model, zone-of-three (12 managers): before, four of twelve left as the others' lists told them first, and half of the fleet came back 10 s after the rest: those that had set out no longer told what they had seen.

--- a/src/main/java/firstage/evacuation/Zones.java
+++ b/src/main/java/firstage/evacuation/Zones.java
@@ -28,8 +28,13 @@
 public final class Zones {
     /** What is told of a zone that one knows nothing of. */
     public static final int UNKNOWN = 255;
+    /** Of one that it left, and whose engines others try: so one whose own evidence came too late goes along. */
+    private static final int LEFT = 250;
+    /** Of one that it is on its way back to, and has not met yet: so all set out together. */
+    private static final int RETURNING = 240;
+    private static final int ALL = 100; // per cent: what is told beyond is one of the above
     private static final int BAD = 60; // per cent of its known engines closed: a release or a rack is less
-    private static final int WELL = 30; // per cent: those that are closed still are engine health's matter
+    private static final int WELL = 50; // per cent: those that are closed still are engine health's matter
     private static final int LEAST_KNOWN = 2; // engines: one alone tells of itself
     private static final long LATELY = 30_000; // since an engine spoke: what is older says nothing of now
     private static final long ANSWERS = 20_000; // within this a usual batch comes back: before, a trial says nothing
@@ -63,6 +68,9 @@
         new Row(State.BACK, Event.DUE, State.IN),
     };
 
+    /** What is told of a zone of which nothing is seen, by its state. */
+    private static final Map<State, Integer> TELLS = Map.of(State.IN, UNKNOWN, State.OUT, LEFT, State.BACK, RETURNING);
+
     /** What is decided; none of it calls back. */
     public interface Effects {
         /** Whether this manager keeps away from an engine; where {@code restIsOver}, it is to be tried now. */
@@ -207,7 +215,8 @@
         int[] told = new int[zones.length];
         for (int z = 0; z < zones.length; z++) {
             int least = zones[z].state == State.OUT ? 1 : Math.min(LEAST_KNOWN, all[z]);
-            told[z] = known[z] == 0 || known[z] < least || now < blindUntil ? UNKNOWN : 100 * closed[z] / known[z];
+            boolean silent = known[z] == 0 || known[z] < least || now < blindUntil;
+            told[z] = !silent ? ALL * closed[z] / known[z] : TELLS.get(zones[z].state);
         }
         return told;
     }
@@ -252,8 +261,11 @@
         for (int from = 0; from < zones.length; from++) {
             int is = from;
             if (is != zone) {
-                int observers = count(rows, r -> r.zone() == is && sees(r, zone) != UNKNOWN);
-                int hold = count(rows, r -> r.zone() == is && sees(r, zone) != UNKNOWN && sees(r, zone) >= BAD);
+                // Of one that was left only what is seen counts, not who is away.
+                int also = zones[zone].state == State.IN ? LEFT : ALL;
+                int observers = count(rows, r -> r.zone() == is && (sees(r, zone) <= ALL || sees(r, zone) == also));
+                int hold = count(rows, r -> r.zone() == is && sees(r, zone) >= BAD
+                        && (sees(r, zone) <= ALL || sees(r, zone) == also));
                 voices += observers > 0 ? 1 : 0;
                 say += 2 * hold > observers || fault == Fault.ONE_IS_ENOUGH && hold > 0 ? 1 : 0;
             }
@@ -272,8 +284,9 @@
 
     /** Whether those that try its engines find most of them well. */
     private static boolean well(int zone, List<Level.Row> rows) {
-        int[] told = rows.stream().mapToInt(r -> sees(r, zone)).filter(s -> s != UNKNOWN).toArray();
-        return told.length >= Math.min(2, rows.size()) && Arrays.stream(told).average().orElse(100) <= WELL;
+        int[] told = rows.stream().mapToInt(r -> sees(r, zone)).filter(s -> s <= ALL || s == RETURNING)
+                .map(s -> s == RETURNING ? 0 : s).toArray();
+        return told.length > 0 && Arrays.stream(told).average().orElse(ALL) <= WELL;
     }
 
     private void look(long now, int at, boolean bad, List<Level.Row> rows) {
