--- a/src/main/java/firstage/benchlink/Seat.java
+++ b/src/main/java/firstage/benchlink/Seat.java
@@ -20,8 +20,6 @@
 import java.util.Base64;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.TreeSet;
 
 /** One workload manager on the wire: its ids, its pending reply lines, and the host it acts through. */
 final class Seat implements Host {
@@ -40,30 +38,20 @@
     /** Null where managers may not talk to each other. */
     private final Circle circle;
     private boolean looks;
-    private long lookedAt;
-    private final Set<Integer> listed = new TreeSet<>();
 
     Seat(String number, Fields setup) {
         this.number = number;
         Deployment deployment = Setup.read(setup);
         this.manager = new Brain(deployment, this);
         long goal = deployment.groups().stream().mapToLong(ServiceGroup::goal).min().orElse(1);
-        circle = !setup.flag("limits.peers") ? null : new Circle(deployment.rank(), goal, manager::cut, this::keepAway);
+        circle = !setup.flag("limits.peers") ? null : new Circle(deployment.rank(), goal, this::cut);
     }
 
-    private void keepAway(long engine, boolean away, boolean restIsOver) {
-        int index = engines.find(engine);
-        if (index >= 0) {
-            manager.othersTry(lookedAt, index, away, restIsOver);
-        }
+    private void cut(long now, int band, double part) {
+        manager.cut(now, band, part);
     }
 
     private void look(long now) {
-        lookedAt = now;
-        for (int engine : listed) {
-            circle.holds(now, engines.id(engine), manager.closed(engine), manager.triedAt(engine),
-                    manager.heardAt(engine));
-        }
         byte[] words = circle.look(now, manager.demand(now));
         if (words.length > 0) {
             line("WRITE_PEER").append(" dst=all payload=").append(Base64.getEncoder().encodeToString(words))
@@ -169,7 +157,6 @@
                     case "leaving" -> EngineList.Standing.LEAVING;
                     default -> EngineList.Standing.LEFT;
                 };
-                listed.add(engines.of(id));
                 entries.add(new EngineList.Entry(engines.of(id), id, item.index("locality", 0),
                         item.index("class_of_host", 0), item.index("cell", 0), standing,
                         item.number("heft", 1), item.time("since")));
@@ -246,10 +233,6 @@
 
     @Override
     public void forgetEngine(int engine) {
-        listed.remove(engine);
-        if (circle != null) {
-            circle.forget(engines.id(engine));
-        }
         engines.release(engine);
     }
 
--- a/src/main/java/firstage/overload/Circle.java
+++ b/src/main/java/firstage/overload/Circle.java
@@ -16,29 +16,16 @@
     private static final long TELL = 2_500; // a cut that is a quarter of a second old; half of it would tell no more
     private static final long HERE = 30_000; // a manager that told nothing so long is taken to be gone
     private static final double STIR = 0.4; // of what engines bear: under it all is open whatever the others tell
-    private static final int MOST_WORDS = 12; // beside a row they fit the 256 bytes of the narrowest carrier
     private final int me;
     private final Level level;
-    private final Trials trials;
     private final Map<Integer, Long> heardAt = new HashMap<>();
     private long toldAt = Long.MIN_VALUE / 4;
     private int here = -1;
 
     /** {@code me}: its number among the managers; {@code goal}: the shortest of a service group. */
-    public Circle(int me, long goal, Level.Effects cut, Trials.Effects away) {
+    public Circle(int me, long goal, Level.Effects effects) {
         this.me = me;
-        level = new Level(String.valueOf(me), goal, cut, Level.Fault.NONE);
-        trials = new Trials(String.valueOf(me), TELL, away, Trials.Fault.NONE);
-    }
-
-    /** How this manager holds an engine, as {@link Trials#holds}; before each look. */
-    public void holds(long now, long engine, boolean closed, long triedAt, long heardAt) {
-        trials.holds(now, engine, closed, triedAt, heardAt);
-    }
-
-    /** The engine left. */
-    public void forget(long engine) {
-        trials.forget(engine);
+        level = new Level(String.valueOf(me), goal, effects, Level.Fault.NONE);
     }
 
     /** Works out the cut, to be called each {@link #LOOK}; what all are to be told now, empty for nothing. */
@@ -47,17 +34,14 @@
         if (heardAt.size() != here) {
             viewed();
         }
-        trials.look(now);
         level.measure(now, demand);
         level.look(now);
-        List<Words.Word> words = trials.words(now);
-        boolean stirs = demand.runs() > STIR * demand.bears() / (heardAt.size() + 1) || demand.waits() > 0
-                || !words.isEmpty();
+        boolean stirs = demand.runs() > STIR * demand.bears() / (heardAt.size() + 1) || demand.waits() > 0;
         if (!stirs || now - toldAt < TELL) {
             return new byte[0];
         }
         toldAt = now;
-        return Words.write(words.subList(0, Math.min(MOST_WORDS, words.size())), level.rows(now, 1));
+        return Words.write(List.of(), level.rows(now, 1));
     }
 
     private void viewed() {
@@ -65,7 +49,6 @@
         List<String> names = new ArrayList<>(List.of(String.valueOf(me)));
         heardAt.keySet().forEach(by -> names.add(String.valueOf(by)));
         level.viewed(names);
-        trials.viewed(names);
     }
 
     /** Another told all; what can't be read says nothing. */
@@ -74,8 +57,6 @@
         if (heardAt.size() != here) {
             viewed();
         }
-        Words.Told told = Words.read(words);
-        level.heard(now, told.rows());
-        trials.heard(now, String.valueOf(by), told.words());
+        level.heard(now, Words.read(words).rows());
     }
 }
