--- a/src/main/java/firstage/net/Node.java
+++ b/src/main/java/firstage/net/Node.java
@@ -92,7 +92,7 @@
         follower = new Follower(io, clock, counters, this, assignment);
         manager = new Brain(assignment.deployment(), this);
         this.peers = peers == null ? null : new Peers(peers, assignment, System.currentTimeMillis(), io, clock,
-                counters, new Together());
+                counters, this::keepAway, this::cut);
         share = 1.0 / assignment.deployment().managers();
     }
 
@@ -240,21 +240,16 @@
         return peers == null ? 0 : peers.stoodStill();
     }
 
-    /** What all decide together is news to the decisions. */
-    private final class Together implements Peers.Effects {
-        @Override
-        public void keepAway(long engine, boolean away, boolean restIsOver) {
-            counters.count(away ? "engines left to others" : "engines taken back");
-            int index = ids.find(engine);
-            if (index >= 0) {
-                tell("away", () -> manager.othersTry(clock.now(), index, away, restIsOver));
-            }
+    private void keepAway(long engine, boolean away, boolean restIsOver) {
+        counters.count(away ? "engines left to others" : "engines taken back");
+        int index = ids.find(engine);
+        if (index >= 0) {
+            tell("away", () -> manager.othersTry(clock.now(), index, away, restIsOver));
         }
+    }
 
-        @Override
-        public void cut(long now, int band, double part) {
-            tell("cut", () -> manager.cut(now, band, part));
-        }
+    private void cut(long now, int band, double part) {
+        tell("cut", () -> manager.cut(now, band, part));
     }
 
     /** Tells what the decisions hold of each engine to who acts on it together. */
--- a/src/main/java/firstage/net/members/Peers.java
+++ b/src/main/java/firstage/net/members/Peers.java
@@ -74,25 +74,22 @@
     private long wokeAt = Long.MIN_VALUE / 4;
     private long stoppedFor;
 
-    /** What the managers together decide for this one. */
-    public interface Effects extends Level.Effects {
-        /** Whether it keeps away from an engine; where {@code restIsOver}, the engine is to be tried now. */
-        void keepAway(long engine, boolean away, boolean restIsOver);
-    }
-
-    /** {@code started}: Unix ms, the number of this life. */
+    /**
+     * {@code started}: Unix ms, the number of this life; {@code keepAway}, {@code cut}: what the managers together
+     * decide for this one.
+     */
     public Peers(PeerList list, Assignment assignment, long started, XnioIoThread io, Clock clock, Counters counters,
-                 Effects effects) {
+                 Trials.Effects keepAway, Level.Effects cut) {
         this.list = list;
         Deployment deployment = assignment.deployment();
         long goal = deployment.groups().stream().mapToLong(ServiceGroup::goal).min().orElse(1);
-        level = new Level(list.name(), goal, effects, Level.Fault.NONE);
+        level = new Level(list.name(), goal, cut, Level.Fault.NONE);
         areas = List.of(assignment.settings().text("areas", "").split(","));
         zones = new Zones(list.name(), deployment.zone(), areas.size(),
                 deployment.rules().warmAfter(), new Zones.Effects() {
                     @Override
                     public void keepAway(long engine, boolean away, boolean restIsOver) {
-                        effects.keepAway(engine, away, restIsOver);
+                        keepAway.othersTry(engine, away, restIsOver);
                     }
 
                     @Override
