One piece for what managers work out together, carried by serve and the fleet model alike

Peers and ManagerModel each had the same sequence of Trials, Level and Zones (holds, look, digest, digested, viewed); now both call evacuation.Together. The two had drifted: serve asked for the demand before the trials of a look, the model after. Both do as serve did. Also one ranking (Rendezvous) for Trials' steps, owners of engines and places on the way back; one shortest goal; one stamp; Choice's three loops are Faults.of; Level sums each row once a look instead of once a band; a callback of the model that nobody read is gone. PeersIT now also names overload and evacuation among what is not loaded without peers.

--- a/src/main/java/firstage/benchlink/Seat.java
+++ b/src/main/java/firstage/benchlink/Seat.java
@@ -9,7 +9,6 @@
 import firstage.door.Note;
 import firstage.door.Outcome;
 import firstage.door.Report;
-import firstage.door.ServiceGroup;
 import firstage.door.WorkloadManager;
 import firstage.overload.Circle;
 import firstage.setup.Fields;
@@ -43,12 +42,8 @@
         this.number = number;
         Deployment deployment = Setup.read(setup);
         this.manager = new Brain(deployment, this);
-        long goal = deployment.groups().stream().mapToLong(ServiceGroup::goal).min().orElse(1);
-        circle = !setup.flag("limits.peers") ? null : new Circle(deployment.rank(), goal, this::cut);
-    }
-
-    private void cut(long now, int band, double part) {
-        manager.cut(now, band, part);
+        circle = !setup.flag("limits.peers") ? null
+                : new Circle(deployment.rank(), deployment.shortestGoal(), manager::cut);
     }
 
     private void look(long now) {
--- a/src/main/java/firstage/door/Deployment.java
+++ b/src/main/java/firstage/door/Deployment.java
@@ -13,6 +13,11 @@
                          List<Machine> machines, List<Double> customerRates, Allowed allowed, Rules rules,
                          double largestGrant, long notePace, boolean asksForList, boolean crossingCosts,
                          double probePrice, boolean probesTell, boolean pages) {
+    /** The shortest response goal of a service group. */
+    public long shortestGoal() {
+        return groups.stream().mapToLong(ServiceGroup::goal).min().orElse(1);
+    }
+
     public record Machine(int cores, double memoryMb) {
     }
 
--- a/src/main/java/firstage/evacuation/Zones.java
+++ b/src/main/java/firstage/evacuation/Zones.java
@@ -1,16 +1,14 @@
 package firstage.evacuation;
 
 import firstage.overload.Level;
-import java.util.ArrayList;
+import firstage.overload.Rendezvous;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.function.Predicate;
 import java.util.stream.IntStream;
-import net.openhft.hashing.LongHashFunction;
 
 /**
  * Which zones the fleet uses. Each manager by itself finds out engine by engine that a zone is gone, by batches that
@@ -46,7 +44,6 @@
     private static final long LEAST_RAMP = 20_000; // for the way back; else as long as engines take to warm up
     private static final long TRY_EVERY = 20_000; // by an engine's owner: a batch in two seconds, whatever the fleet
     private static final double USED = 1 / 3.0; // of all zones stay in use at least
-    private static final long STAMP = 100;
     private static final long STOOD_STILL = 10_000; // between two looks: then what is known is old
 
     private enum State { IN, OUT, BACK }
@@ -76,8 +73,9 @@
         /** Whether this manager keeps away from an engine; where {@code restIsOver}, it is to be tried now. */
         void keepAway(long engine, boolean away, boolean restIsOver);
 
-        /** A zone is left, or used again: for the log. */
-        void turned(int zone, String state);
+        /** A zone is left, or used again: for the log of who keeps one. */
+        default void turned(int zone, String state) {
+        }
     }
 
     /** Faults put back one at a time. */
@@ -171,7 +169,7 @@
     /** An operator asked this manager; it tells the others, and each that hears it tells it on. */
     public void order(long now, int zone, Order order) {
         zones[zone].order = order;
-        zones[zone].orderedAt = (int) (now / STAMP);
+        zones[zone].orderedAt = Level.stamp(now);
     }
 
     /** The orders that are known, to be told with the rest; three figures each: zone, order, when. */
@@ -230,11 +228,7 @@
     }
 
     private boolean owns(long engine) {
-        return fault != Fault.NOBODY_TRIES && view.stream().allMatch(n -> rank(engine, n) <= rank(engine, me));
-    }
-
-    private static long rank(long of, String name) {
-        return LongHashFunction.xx3(of).hashChars(name);
+        return fault != Fault.NOBODY_TRIES && Rendezvous.before(engine, view, me) == 0;
     }
 
     /** Looks at all zones, each tenth of a second or so; {@code rows}: of all that are fresh, its own included. */
@@ -256,28 +250,24 @@
 
     /** Whether most observers of most other zones, and of two where there are so many, hold it for bad. */
     private boolean bad(int zone, List<Level.Row> rows) {
+        // Of one that was left only what is seen counts, not who is away.
+        int also = zones[zone].state == State.IN ? LEFT : ALL;
         int voices = 0;
         int say = 0;
         for (int from = 0; from < zones.length; from++) {
             int is = from;
             if (is != zone) {
-                // Of one that was left only what is seen counts, not who is away.
-                int also = zones[zone].state == State.IN ? LEFT : ALL;
-                int observers = count(rows, r -> r.zone() == is && (sees(r, zone) <= ALL || sees(r, zone) == also));
-                int hold = count(rows, r -> r.zone() == is && sees(r, zone) >= BAD
-                        && (sees(r, zone) <= ALL || sees(r, zone) == also));
-                voices += observers > 0 ? 1 : 0;
-                say += 2 * hold > observers || fault == Fault.ONE_IS_ENOUGH && hold > 0 ? 1 : 0;
+                int[] told = rows.stream().filter(r -> r.zone() == is).mapToInt(r -> sees(r, zone))
+                        .filter(s -> s <= ALL || s == also).toArray();
+                long hold = Arrays.stream(told).filter(s -> s >= BAD).count();
+                voices += told.length > 0 ? 1 : 0;
+                say += 2 * hold > told.length || fault == Fault.ONE_IS_ENOUGH && hold > 0 ? 1 : 0;
             }
         }
         int needed = fault == Fault.ONE_IS_ENOUGH ? 1 : Math.min(2, zones.length - 1);
         return say >= needed && (2 * say > voices || fault == Fault.ONE_IS_ENOUGH);
     }
 
-    private static int count(List<Level.Row> rows, Predicate<Level.Row> what) {
-        return (int) rows.stream().filter(what).count();
-    }
-
     private static int sees(Level.Row row, int zone) {
         return zone < row.bad().length ? row.bad()[zone] : UNKNOWN;
     }
@@ -334,8 +324,7 @@
 
     /** This manager's place on the way back to a zone, from 0 to 1. */
     private double place(int zone) {
-        long before = view.stream().filter(n -> rank(zone, n) > rank(zone, me)).count();
-        return (double) before / Math.max(1, view.size());
+        return (double) Rendezvous.before(zone, view, me) / Math.max(1, view.size());
     }
 
     /** By zone, what operators want. */
@@ -351,13 +340,7 @@
 
     /** The zones that are left, or on the way back. */
     public List<Integer> out() {
-        List<Integer> out = new ArrayList<>();
-        for (int z = 0; z < zones.length; z++) {
-            if (zones[z].state != State.IN) {
-                out.add(z);
-            }
-        }
-        return out;
+        return IntStream.range(0, zones.length).filter(z -> zones[z].state != State.IN).boxed().toList();
     }
 
     /** This manager's own zone. */
--- a/src/main/java/firstage/fleet/Choice.java
+++ b/src/main/java/firstage/fleet/Choice.java
@@ -4,52 +4,36 @@
 import firstage.door.Deployment;
 import firstage.door.Host;
 import firstage.door.WorkloadManager;
-import firstage.evacuation.Zones;
-import firstage.overload.Level;
-import firstage.overload.Trials;
+import firstage.evacuation.Together;
 import java.util.List;
 import java.util.Locale;
 
 /**
- * What decides in a run: the real decisions, or a textbook policy. {@code bounds} tells the decisions that each
- * engine has
- * so many times its cores and memory, which opens their bounds as a wrong setting would. {@code peers}: managers know
- * each other, by the truth, and tell each other what takes its time on its way; {@code trials} {@code level} and
- * {@code zones} put a fault back.
+ * What decides in a run: the real decisions, or a textbook policy. {@code bounds} tells the decisions that each engine
+ * has so many times its cores and memory, which opens their bounds as a wrong setting would. {@code peers}, null where
+ * there are none: managers know each other, by the truth, tell each other what takes its time on its way, and these
+ * faults are put back.
  */
-public record Choice(String name, PlainPolicy.Kind plain, double bounds, boolean peers, Trials.Fault trials,
-                     Level.Fault level, Zones.Fault zones) {
+public record Choice(String name, PlainPolicy.Kind plain, double bounds, Together.Faults peers) {
     private static final String BRAIN = "brain";
     private static final String PEERS = BRAIN + ":peers";
 
     /** {@code brain}, {@code brain:bounds=4}, {@code random}, {@code round-robin}, ...; a fault names what would do. */
     public static Choice of(String text) {
         if (text.equals(BRAIN)) {
-            return new Choice(text, null, 1, false, null, null, null);
+            return new Choice(text, null, 1, null);
         }
         if (text.equals(PEERS)) {
-            return new Choice(text, null, 1, true, Trials.Fault.NONE, Level.Fault.NONE, Zones.Fault.NONE);
+            return new Choice(text, null, 1, Together.Faults.NONE);
         }
-        for (Trials.Fault fault : Trials.Fault.values()) {
-            if (text.equals(PEERS + "=" + word(fault))) {
-                return new Choice(text, null, 1, true, fault, Level.Fault.NONE, Zones.Fault.NONE);
-            }
-        }
-        for (Level.Fault fault : Level.Fault.values()) {
-            if (text.equals(PEERS + "=" + word(fault))) {
-                return new Choice(text, null, 1, true, Trials.Fault.NONE, fault, Zones.Fault.NONE);
-            }
-        }
-        for (Zones.Fault fault : Zones.Fault.values()) {
-            if (text.equals(PEERS + "=" + word(fault))) {
-                return new Choice(text, null, 1, true, Trials.Fault.NONE, Level.Fault.NONE, fault);
-            }
+        if (text.startsWith(PEERS + "=") && Together.Faults.of(text.substring(PEERS.length() + 1)) != null) {
+            return new Choice(text, null, 1, Together.Faults.of(text.substring(PEERS.length() + 1)));
         }
         if (text.startsWith(BRAIN + ":bounds=")) {
             try {
                 double bounds = Double.parseDouble(text.substring((BRAIN + ":bounds=").length()));
                 if (bounds > 0 && bounds <= 1_000) {
-                    return new Choice(text, null, bounds, false, null, null, null);
+                    return new Choice(text, null, bounds, null);
                 }
             } catch (NumberFormatException fault) {
                 // Told below.
@@ -57,17 +41,13 @@
             throw new FleetFault(0, "'" + text + "': bounds takes a number above 0, such as brain:bounds=4");
         }
         for (PlainPolicy.Kind kind : PlainPolicy.Kind.values()) {
-            if (word(kind).equals(text)) {
-                return new Choice(text, kind, 1, false, null, null, null);
+            if (kind.name().toLowerCase(Locale.ROOT).replace('_', '-').equals(text)) {
+                return new Choice(text, kind, 1, null);
             }
         }
         throw new FleetFault(0, "'" + text + "' is no choice; there are " + String.join(", ", names()));
     }
 
-    private static String word(Enum<?> one) {
-        return one.name().toLowerCase(Locale.ROOT).replace('_', '-');
-    }
-
     /** What {@link #of} knows. */
     public static List<String> names() {
         return List.of(BRAIN, PEERS, PEERS + "=FAULT", BRAIN + ":bounds=N", "random", "round-robin",
--- a/src/main/java/firstage/fleet/FleetRun.java
+++ b/src/main/java/firstage/fleet/FleetRun.java
@@ -5,7 +5,6 @@
 import firstage.fleet.FleetPlan.Trouble;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -40,7 +39,6 @@
     private final List<Trouble> dear = new ArrayList<>();
     private double boost = 1;
     private long toSick;
-    private final Map<String, Integer> turns = new HashMap<>();
     private double sickSeconds;
 
     private FleetRun(FleetPlan plan, Choice choice, long seed) {
@@ -71,7 +69,7 @@
 
     private FleetResult play(Choice choice, long seed) {
         managers.forEach(ManagerModel::start);
-        if (choice.peers()) {
+        if (choice.peers() != null) {
             gossip(streams.of("gossip", 0));
         }
         int number = 0;
@@ -114,11 +112,6 @@
         toSick++;
     }
 
-    @Override
-    public void turned(long now, int zone, String state) {
-        turns.merge(state, 1, Integer::sum);
-    }
-
     // ---- Clients.
     private void arrival() {
         long now = calendar.now();
--- a/src/main/java/firstage/fleet/ManagerModel.java
+++ b/src/main/java/firstage/fleet/ManagerModel.java
@@ -1,6 +1,7 @@
 package firstage.fleet;
 
 import firstage.door.Arrival;
+import firstage.door.Deployment;
 import firstage.door.Ending;
 import firstage.door.EngineList;
 import firstage.door.EngineList.Standing;
@@ -9,11 +10,8 @@
 import firstage.door.Outcome;
 import firstage.door.Report;
 import firstage.door.WorkloadManager;
-import firstage.evacuation.Zones;
+import firstage.evacuation.Together;
 import firstage.fleet.EngineModel.Job;
-import firstage.overload.Level;
-import firstage.overload.Trials;
-import firstage.overload.Words;
 import firstage.setup.Indices;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -44,9 +42,6 @@
 
         /** A dispatch goes to an engine that is down, silent or hangs. */
         void toSick();
-
-        /** A manager left a zone, or uses it again. */
-        void turned(long now, int zone, String state);
     }
 
     private static final class Open {
@@ -134,9 +129,7 @@
     private int life;
     private boolean up;
     private boolean turnDue;
-    private Trials trials;
-    private Level level;
-    private Zones zones;
+    private Together together;
     private long reportsLater;
     private final Set<Open> open = new LinkedHashSet<>();
     /** The list as it last had it: by engine, standing and start. */
@@ -168,28 +161,18 @@
         up = true;
         batches = new Indices<>();
         keys = new Indices<>();
-        manager = choice.start(FleetDeployment.of(plan, number, streams.seed("manager-life", number * 1_000L + life),
-                choice.bounds()), this);
-        if (choice.peers()) {
-            zones = new Zones(name(), plan.zoneOf(number), plan.zones().size(), Math.round(plan.engines().warmAfter()
-                    .high()), new Zones.Effects() {
-                        @Override
-                        public void keepAway(long engine, boolean away, boolean restIsOver) {
-                            manager.othersTry(calendar.now(), (int) engine, away, restIsOver);
-                            stir();
-                        }
-
-                        @Override
-                        public void turned(int zone, String state) {
-                            answers.turned(calendar.now(), zone, state);
-                        }
-                    }, choice.zones());
-            trials = new Trials(name(), PERIOD, zones::othersTry, choice.trials());
-            long goal = plan.groups().stream().mapToLong(FleetPlan.Group::goal).min().orElse(1);
-            level = new Level(name(), goal, (now, band, part) -> {
-                manager.cut(now, band, part);
-                stir();
-            }, choice.level());
+        Deployment deployment = FleetDeployment.of(plan, number, streams.seed("manager-life", number * 1_000L + life),
+                choice.bounds());
+        manager = choice.start(deployment, this);
+        if (choice.peers() != null) {
+            together = new Together(name(), plan.zoneOf(number), plan.zones().size(), deployment.shortestGoal(),
+                    deployment.rules().warmAfter(), PERIOD, (engine, away, restIsOver) -> {
+                        manager.othersTry(calendar.now(), (int) engine, away, restIsOver);
+                        stir();
+                    }, (now, band, part) -> {
+                        manager.cut(now, band, part);
+                        stir();
+                    }, choice.peers());
             look(life);
         }
         list.values().forEach(e -> rules.toldStart(number, e.engine(), e.since()));
@@ -204,29 +187,21 @@
     private void look(int mine) {
         if (mine == life && up) {
             for (EngineModel e : engines) {
-                trials.holds(calendar.now(), e.number(), manager.closed(e.number()), manager.triedAt(e.number()),
-                        manager.heardAt(e.number()));
-                zones.holds(plan.zoneOf(e.number()), e.number(), manager.closed(e.number()),
+                together.holds(calendar.now(), plan.zoneOf(e.number()), e.number(), manager.closed(e.number()),
                         manager.triedAt(e.number()), manager.heardAt(e.number()));
             }
-            trials.look(calendar.now());
-            level.measure(calendar.now(), manager.demand(calendar.now()));
-            level.sees(zones.mine(), zones.sees(calendar.now()), zones.orders());
-            level.look(calendar.now());
-            zones.look(calendar.now(), level.table(calendar.now()));
+            together.look(calendar.now(), manager.demand(calendar.now()));
             calendar.in(LOOK, () -> look(mine));
         }
     }
 
     /** Words of one are with the other after their way; nothing where either is down by then. */
     void tells(ManagerModel other) {
-        if (trials != null && up) {
-            List<Words.Word> words = trials.words(calendar.now());
-            Words.Told told = Words.read(Words.write(words, level.rows(calendar.now(), Words.rows(words.size()))));
+        if (together != null && up) {
+            byte[] digest = together.digest(calendar.now());
             calendar.in(way(), () -> {
-                if (other.up && other.trials != null) {
-                    other.trials.heard(calendar.now(), name(), told.words());
-                    other.level.heard(calendar.now(), told.rows());
+                if (other.up && other.together != null) {
+                    other.together.digested(calendar.now(), name(), digest);
                 }
             });
         }
@@ -234,10 +209,8 @@
 
     /** Who is up. */
     void viewed(List<String> names) {
-        if (trials != null) {
-            trials.viewed(names);
-            level.viewed(names);
-            zones.viewed(names);
+        if (together != null) {
+            together.viewed(names);
         }
     }
 
--- a/src/main/java/firstage/net/Node.java
+++ b/src/main/java/firstage/net/Node.java
@@ -256,11 +256,11 @@
     private void lookTogether() {
         for (int engine = 0; engine < engines.count(); engine++) {
             if (engines.listed(engine)) {
-                peers.holds(zoneOf.getOrDefault(engine, -1), ids.id(engine), manager.closed(engine),
-                        manager.triedAt(engine), manager.heardAt(engine));
+                peers.together().holds(clock.now(), zoneOf.getOrDefault(engine, -1), ids.id(engine),
+                        manager.closed(engine), manager.triedAt(engine), manager.heardAt(engine));
             }
         }
-        peers.look(manager.demand(clock.now()));
+        peers.together().look(clock.now(), manager.demand(clock.now()));
         later(TOGETHER_MS, this::lookTogether);
     }
 
@@ -501,7 +501,7 @@
     @Override
     public void forgetEngine(int engine) {
         if (peers != null) {
-            peers.forget(ids.id(engine));
+            peers.together().forget(ids.id(engine));
         }
         ids.release(engine);
         engines.forget(engine);
--- a/src/main/java/firstage/net/members/Peers.java
+++ b/src/main/java/firstage/net/members/Peers.java
@@ -2,9 +2,8 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
-import firstage.door.Demand;
 import firstage.door.Deployment;
-import firstage.door.ServiceGroup;
+import firstage.evacuation.Together;
 import firstage.evacuation.Zones;
 import firstage.members.Entry;
 import firstage.members.Leases;
@@ -16,7 +15,6 @@
 import firstage.net.Counters;
 import firstage.overload.Level;
 import firstage.overload.Trials;
-import firstage.overload.Words;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.net.InetSocketAddress;
@@ -61,9 +59,7 @@
     private final XnioIoThread io;
     private final Members members;
     private final Leases leases;
-    private final Trials trials;
-    private final Level level;
-    private final Zones zones;
+    private final Together together;
     private final List<String> areas;
     private final Map<InetSocketAddress, Integer> seeds = new HashMap<>();
     private final ByteBuffer shared = ByteBuffer.allocateDirect(MOST + 1);
@@ -82,11 +78,9 @@
                  Trials.Effects keepAway, Level.Effects cut) {
         this.list = list;
         Deployment deployment = assignment.deployment();
-        long goal = deployment.groups().stream().mapToLong(ServiceGroup::goal).min().orElse(1);
-        level = new Level(list.name(), goal, cut, Level.Fault.NONE);
         areas = List.of(assignment.settings().text("areas", "").split(","));
-        zones = new Zones(list.name(), deployment.zone(), areas.size(),
-                deployment.rules().warmAfter(), new Zones.Effects() {
+        together = new Together(list.name(), deployment.zone(), areas.size(), deployment.shortestGoal(),
+                deployment.rules().warmAfter(), list.period(), new Zones.Effects() {
                     @Override
                     public void keepAway(long engine, boolean away, boolean restIsOver) {
                         keepAway.othersTry(engine, away, restIsOver);
@@ -96,8 +90,7 @@
                     public void turned(int zone, String state) {
                         LOG.info(() -> "zone {\"zone\":" + zone + ",\"is\":\"" + state + "\"}");
                     }
-                }, Zones.Fault.NONE);
-        trials = new Trials(list.name(), list.period(), zones::othersTry, Trials.Fault.NONE);
+                }, cut, Together.Faults.NONE);
         int all = deployment.managers();
         long seed = deployment.seed();
         this.io = io;
@@ -204,7 +197,7 @@
         for (Zones.Order order : Zones.Order.values()) {
             if (order.name().toLowerCase(Locale.ROOT).equals(words[3])) {
                 LOG.info(() -> "zone {\"zone\":" + zone + ",\"ordered\":\"" + words[3] + "\"}");
-                zones.order(clock.now(), zone, order);
+                together.order(clock.now(), zone, order);
                 return true;
             }
         }
@@ -223,10 +216,11 @@
             out.writeBooleanField("agreed", members.agreed());
             out.writeNumberField("sure", members.sure(now));
             out.writeNumberField("share", leases.share(now));
-            out.writeNumberField("trials withheld", trials.withheld());
-            out.writeNumberField("cut", level.cut());
-            out.writeStringField("zones left", zones.out().stream().map(areas::get).collect(Collectors.joining(" ")));
-            out.writeStringField("zones ordered", zones.ordered().entrySet().stream()
+            out.writeNumberField("trials withheld", together.withheld());
+            out.writeNumberField("cut", together.cut());
+            out.writeStringField("zones left", together.zonesOut().stream().map(areas::get)
+                    .collect(Collectors.joining(" ")));
+            out.writeStringField("zones ordered", together.ordered().entrySet().stream()
                     .map(e -> areas.get(e.getKey()) + " " + e.getValue().name().toLowerCase(Locale.ROOT))
                     .collect(Collectors.joining(" ")));
             out.writeArrayFieldStart("members");
@@ -278,9 +272,7 @@
 
     @Override
     public void changed(long now, View view) {
-        trials.viewed(view.names());
-        level.viewed(view.names());
-        zones.viewed(view.names());
+        together.viewed(view.names());
         LOG.info(() -> "view {\"number\":" + view.number() + ",\"members\":\"" + String.join(" ", view.names())
                 + "\",\"share\":" + String.format(Locale.ROOT, "%.4f", leases.share(now)) + "}");
     }
@@ -292,39 +284,16 @@
 
     @Override
     public byte[] digest(long now) {
-        List<Words.Word> words = trials.words(now);
-        return Words.write(words, level.rows(now, Words.rows(words.size())));
+        return together.digest(now);
     }
 
     @Override
     public void digested(long now, String name, byte[] digest) {
-        Words.Told told = Words.read(digest);
-        trials.heard(now, name, told.words());
-        level.heard(now, told.rows());
-    }
-
-    /**
-     * How this manager's decisions hold an engine of the list; {@code triedAt}, {@code heardAt}: when a batch last went
-     * there, when it last spoke. On the I/O thread, as all calls.
-     */
-    public void holds(int zone, long engine, boolean shut, long triedAt, long heardAt) {
-        trials.holds(clock.now(), engine, shut, triedAt, heardAt);
-        zones.holds(zone, engine, shut, triedAt, heardAt);
-    }
-
-    /** Works out what all do together, from what this manager was asked for and what the others told. */
-    public void look(Demand demand) {
-        long now = clock.now();
-        trials.look(now);
-        level.measure(now, demand);
-        level.sees(zones.mine(), zones.sees(now), zones.orders());
-        level.look(now);
-        zones.look(now, level.table(now));
+        together.digested(now, name, digest);
     }
 
-    /** The engine is off the list. */
-    public void forget(long engine) {
-        trials.forget(engine);
-        zones.forget(engine);
+    /** What this manager works out with the others; on the I/O thread. */
+    public Together together() {
+        return together;
     }
 }
--- a/src/main/java/firstage/overload/Level.java
+++ b/src/main/java/firstage/overload/Level.java
@@ -40,7 +40,7 @@
     private static final double BY_BUSY = 1.5; // of what is sent held back for each whole of it beyond that
     private static final double OUTSIZED = 4; // times the others' mean that one row counts for: a skewed fleet's most
     private static final double TENTHS = 10_000;
-    private static final long STAMP = 100; // a row's age in steps of 10 ms: 32 bits are a year and more
+    private static final long STAMP = 100; // what is told is dated in steps of 10 ms: 32 bits are a year and more
 
     /** What is decided. */
     public interface Effects {
@@ -95,6 +95,11 @@
         this.fault = fault;
     }
 
+    /** A moment as it is told: the later is the greater by difference, for half of a year and more. */
+    public static int stamp(long now) {
+        return (int) (now / STAMP);
+    }
+
     static int id(String name) {
         return (int) LongHashFunction.xx3().hashChars(name);
     }
@@ -122,8 +127,7 @@
 
     /** What this manager tells: its own row first, then those it was told, by turns where {@code most} is too few. */
     public List<Row> rows(long now, int most) {
-        List<Row> others = new ArrayList<>();
-        told.values().stream().filter(t -> isFresh(now, t)).forEach(t -> others.add(t.row));
+        List<Row> others = others(now);
         List<Row> rows = new ArrayList<>(List.of(mine(now)));
         for (int i = 0; i < others.size() && rows.size() < most; i++) {
             rows.add(others.get((turn + i) % others.size()));
@@ -132,8 +136,12 @@
         return rows;
     }
 
+    private List<Row> others(long now) {
+        return told.values().stream().filter(t -> isFresh(now, t)).map(Told::row).toList();
+    }
+
     private Row mine(long now) {
-        return new Row(me, (int) (now / STAMP), came.clone(), sent, waits, runs, zone, bad, orders);
+        return new Row(me, stamp(now), came.clone(), sent, waits, runs, zone, bad, orders);
     }
 
     /** What this manager's own decisions count, to be told each tenth of a second or so. */
@@ -167,7 +175,7 @@
     /** All fresh rows, its own first. */
     public List<Row> table(long now) {
         List<Row> rows = new ArrayList<>(List.of(mine(now)));
-        told.values().stream().filter(t -> isFresh(now, t) && fault != Fault.NO_PEERS).forEach(t -> rows.add(t.row));
+        rows.addAll(fault == Fault.NO_PEERS ? List.of() : others(now));
         return rows;
     }
 
@@ -179,7 +187,9 @@
         double sends = rows.stream().mapToDouble(Row::sent).sum();
         double delay = fault == Fault.WAITS_UNSEEN ? 0 : limited(rows, Row::waits).sum() / Math.max(0.01, sends);
         double busy = limited(rows, Row::runs).sum() * whole / Math.max(1, bears);
-        double[] wants = limited(rows, r -> Arrays.stream(r.came).sum()).toArray();
+        ToDoubleFunction<Row> asks = r -> Arrays.stream(r.came).sum();
+        double[] all = rows.stream().mapToDouble(asks).toArray();
+        double[] wants = limited(rows, asks).toArray();
         double byDelay = delay <= target ? GROW * (1 - delay / target) : (target - delay) / DRAIN;
         double step = Math.max(-DROP, busy > BUSY ? Math.min(byDelay, (BUSY - busy) * BY_BUSY) : byDelay);
         double left = sends * (1 + (fault == Fault.NO_WAY_BACK ? Math.min(0, step) : step));
@@ -189,8 +199,7 @@
             band--;
             asked = 0;
             for (int r = 0; r < wants.length; r++) {
-                double all = Arrays.stream(rows.get(r).came).sum();
-                asked += all > 0 ? rows.get(r).came[band] * wants[r] / all : 0;
+                asked += all[r] > 0 ? rows.get(r).came[band] * wants[r] / all[r] : 0;
             }
             left -= asked;
         }
--- a/src/main/java/firstage/overload/Trials.java
+++ b/src/main/java/firstage/overload/Trials.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import net.openhft.hashing.LongHashFunction;
 
 /**
  * Who tries a sick engine, and who keeps away from it. Each manager by itself finds out that an engine is sick by
@@ -173,10 +172,6 @@
         return now - t.at < fresh || fault == Fault.WORDS_NEVER_END;
     }
 
-    private static long rank(long engine, String name) {
-        return LongHashFunction.xx3(engine).hashChars(name);
-    }
-
     /** Looks at all that is sick; to be called each tenth of a second or so. */
     public void look(long now) {
         Set<Long> sick = new HashSet<>();
@@ -231,8 +226,8 @@
                 && now - s.heardAt > HEARD)
                 || fault == Fault.ALONE_IS_SHARED;
         boolean mine = s.closed && fault != Fault.ALONE_IS_SHARED && (fault == Fault.ALL_OWN
-                || (ready.isEmpty() ? closers : ready).stream().max(Comparator.comparingLong(n -> rank(engine, n)))
-                        .orElse(me).equals(me));
+                || (ready.isEmpty() ? closers : ready).stream()
+                        .max(Comparator.comparingLong(n -> Rendezvous.rank(engine, n))).orElse(me).equals(me));
         // What was opened before this manager last tried it in vain says nothing.
         boolean open = s.openHeard > s.triedAt;
         Event event = open && s.state != State.OWN ? s.state == State.STEPPING && now >= s.dueAt ? Event.DUE
@@ -243,7 +238,7 @@
                 s.state = row.next;
                 if (s.state == State.STEPPING) {
                     // Those before this one in the order of the engine, doubled with each step.
-                    long before = view.stream().filter(n -> rank(engine, n) > rank(engine, me)).count();
+                    long before = Rendezvous.before(engine, view, me);
                     int step = fault == Fault.ALL_AT_ONCE ? 0 : Long.SIZE - Long.numberOfLeadingZeros(before + 1) - 1;
                     s.dueAt = now + step * STEP;
                 }
--- a/src/test/java/firstage/net/PeersIT.java
+++ b/src/test/java/firstage/net/PeersIT.java
@@ -35,6 +35,7 @@
         String classes = Files.readString(loaded);
         assertThat(classes).contains("firstage.net.Node").doesNotContain("firstage.members.",
                 "firstage.net.members.Peers",
+                "firstage.overload.", "firstage.evacuation.",
                 "dataformat.cbor", "org.tomlj", "picocli", "firstage.yard", "firstage.fleet");
     }
 
