Rows that are passed on by turns: none is left out for good

Level.rows stepped its turn by the digest's room, own row included, though one row fewer of the others was told: with room for 8 and 96 others each eighth row was never passed on, by any manager. Fleets whose rows all fit (up to some 20 managers) told all each time and are not touched.

--- a/src/main/java/firstage/overload/Level.java
+++ b/src/main/java/firstage/overload/Level.java
@@ -132,7 +132,7 @@
         for (int i = 0; i < others.size() && rows.size() < most; i++) {
             rows.add(others.get((turn + i) % others.size()));
         }
-        turn = others.isEmpty() ? 0 : (turn + most) % others.size();
+        turn = others.isEmpty() ? 0 : (turn + rows.size() - 1) % others.size();
         return rows;
     }
 
--- a/src/test/java/firstage/overload/LevelTest.java
+++ b/src/test/java/firstage/overload/LevelTest.java
@@ -5,7 +5,9 @@
 import firstage.door.Demand;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 import org.junit.jupiter.api.Test;
@@ -211,6 +213,19 @@
         assertThat(served(HIGH)).isGreaterThan(0.8 * 10 * 0.1 * CAPACITY);
     }
 
+    /** More rows than fit beside the rest of a digest: all have their turn, or a large fleet's table has holes. */
+    @Test
+    void allRowsArePassedOnByTurns() {
+        fleet(97, Level.Fault.NONE);
+        Level one = all.get(0).level;
+        all.forEach(o -> one.heard(now, o.level.rows(now, 1)));
+        Set<Integer> told = new HashSet<>();
+        for (int i = 0; i < 20; i++) {
+            one.rows(now, 8).forEach(r -> told.add(r.name()));
+        }
+        assertThat(told).hasSize(97);
+    }
+
     @Test
     void worthThatDiffersAThousandfoldIsToldApart() {
         assertThat(Demand.band(1_000, SECOND, false)).isEqualTo(Demand.BANDS - 1);
