One piece for how clients spread and ask again, in the model and on sockets

FleetRun and the yard's Crowd each had the weights of managers, the place of a key and the rule of when a client tries again. Both call fleet.Clients.

--- a/src/main/java/firstage/fleet/FleetRun.java
+++ b/src/main/java/firstage/fleet/FleetRun.java
@@ -30,10 +30,9 @@
     private final RuleWatch rules;
     private final Scoreboard score;
     private final TrafficSource traffic;
-    private final RandomGenerator clients;
+    private final Clients clients;
     private final List<EngineModel> engines = new ArrayList<>();
     private final List<ManagerModel> managers = new ArrayList<>();
-    private final double[] managerEnds;
     /** By engine, how often the list changed its word on it. */
     private final int[] versions;
     private final List<Trouble> dear = new ArrayList<>();
@@ -47,18 +46,14 @@
         rules = new RuleWatch(plan);
         score = new Scoreboard(plan, START);
         traffic = new TrafficSource(plan, streams);
-        clients = streams.of("clients", 0);
+        clients = new Clients(plan, streams.of("clients", 0));
         for (int e = 0; e < plan.engines().count(); e++) {
             engines.add(new EngineModel(e, plan, calendar, streams, rules));
         }
         versions = new int[engines.size()];
         int count = plan.managers().count();
-        managerEnds = new double[count];
-        double sum = 0;
         for (int m = 0; m < count; m++) {
             managers.add(new ManagerModel(m, plan, choice, calendar, streams, rules, engines, this));
-            sum += 1 - plan.managers().unequal() + 2 * plan.managers().unequal() * (m + 0.5) / count;
-            managerEnds[m] = sum;
         }
     }
 
@@ -127,7 +122,7 @@
     private void goes(Work is) {
         long now = calendar.now();
         is.tries++;
-        ManagerModel to = managers.get(manager(is));
+        ManagerModel to = managers.get(clients.manager(is));
         long patience = Math.round((is.limit - is.asked) * plan.clients().tryShare());
         if (!to.up()) {
             again(is, 0, true);
@@ -136,24 +131,10 @@
         }
     }
 
-    private int manager(Work is) {
-        double at = is.key >= 0 ? Math.floorMod(is.key * 0x9E3779B97F4A7C15L, 1L << 40) / (double) (1L << 40)
-                : clients.nextDouble();
-        at *= managerEnds[managerEnds.length - 1];
-        int m = 0;
-        while (m < managerEnds.length - 1 && managerEnds[m] <= at) {
-            m++;
-        }
-        return m;
-    }
-
     private void again(Work is, long comeBack, boolean harmless) {
         boolean may = harmless || plan.groups().get(is.group).effect() != Effect.ONCE_ONLY;
-        long wait = plan.clients().pause().drawTime(clients);
-        if (comeBack > 0 && clients.nextDouble() < plan.clients().honour()) {
-            wait = Math.max(wait, comeBack);
-        }
-        if (!is.done && may && is.tries <= plan.clients().retries() && calendar.now() + wait < is.limit) {
+        long wait = clients.again(is, calendar.now(), comeBack, may);
+        if (wait >= 0) {
             calendar.in(wait, () -> goes(is));
         }
     }
--- a/src/main/java/firstage/standin/Crowd.java
+++ b/src/main/java/firstage/standin/Crowd.java
@@ -1,6 +1,7 @@
 package firstage.standin;
 
 import firstage.door.ServiceGroup.Effect;
+import firstage.fleet.Clients;
 import firstage.fleet.FleetPlan;
 import firstage.fleet.RuleWatch;
 import firstage.fleet.RuleWatch.Try;
@@ -70,7 +71,7 @@
     private final TrafficSource traffic;
     private final RandomGenerator chance;
     private final List<InetSocketAddress> managers;
-    private final double[] ends;
+    private final Clients clients;
     private final Map<String, Try> tickets = new HashMap<>();
     private final Map<Integer, Long> keyFree = new HashMap<>();
     private final List<Set<Try>> open = new ArrayList<>();
@@ -105,16 +106,13 @@
         origin = streams.seed("tickets", 0) & 0xFFFFFFFFL;
         http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).executor(threads)
                 .connectTimeout(Duration.ofMillis(CONNECT_MS)).build();
-        ends = new double[managers.size()];
+        clients = new Clients(plan, chance);
         lifeChanged = new long[managers.size()];
         down = new boolean[managers.size()];
         stoppedUntil = new long[managers.size()];
-        double sum = 0;
-        for (int m = 0; m < ends.length; m++) {
+        for (int m = 0; m < managers.size(); m++) {
             open.add(new LinkedHashSet<>());
             known.add(m);
-            sum += 1 - plan.managers().unequal() + 2 * plan.managers().unequal() * (m + 0.5) / ends.length;
-            ends[m] = sum;
         }
     }
 
@@ -195,16 +193,10 @@
     }
 
     private int manager(Work is) {
-        double at = is.key >= 0 ? Math.floorMod(is.key * 0x9E3779B97F4A7C15L, 1L << 40) / (double) (1L << 40)
-                : chance.nextDouble();
-        at *= ends[ends.length - 1];
-        int m = 0;
-        while (m < ends.length - 1 && ends[m] <= at) {
-            m++;
-        }
+        int m = clients.manager(is);
         // The next one that the front holds for alive; those of one key go on together.
-        for (int i = 0; i < ends.length && !known.contains(m); i++) {
-            m = (m + 1) % ends.length;
+        for (int i = 0; i < managers.size() && !known.contains(m); i++) {
+            m = (m + 1) % managers.size();
         }
         return m;
     }
@@ -331,11 +323,8 @@
     }
 
     private void again(Work is, long comeBack, boolean may) {
-        long wait = plan.clients().pause().drawTime(chance);
-        if (comeBack > 0 && chance.nextDouble() < plan.clients().honour()) {
-            wait = Math.max(wait, comeBack);
-        }
-        if (!is.done && may && is.tries <= plan.clients().retries() && stage.now() + wait < is.limit) {
+        long wait = clients.again(is, stage.now(), comeBack, may);
+        if (wait >= 0) {
             stage.calendar().in(wait, () -> goes(is, manager(is)));
         }
     }
