An order that can't be used is answered; JSON lines are read in one place

zones with a name that the settings do not have waited five tries of 0.4 s, asked for a view to tell that the manager runs, and was counted as a datagram from nobody.

--- a/src/main/java/firstage/app/Lines.java
+++ b/src/main/java/firstage/app/Lines.java
@@ -1,5 +1,10 @@
 package firstage.app;
 
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import picocli.CommandLine;
 
 /** Runs a sub-command of several words: one line on standard error and status 2 where something can't be used. */
@@ -9,6 +14,17 @@
     private Lines() {
     }
 
+    /** What a parser that stands in a JSON object finds there, as text, up to the object's end. */
+    static Map<String, String> fields(JsonParser in) throws IOException {
+        Map<String, String> fields = new LinkedHashMap<>();
+        while (in.nextToken() == JsonToken.FIELD_NAME) {
+            String name = in.currentName();
+            in.nextToken();
+            fields.put(name, in.getText());
+        }
+        return fields;
+    }
+
     static int run(Object command, String name, String[] args) {
         CommandLine line = new CommandLine(command);
         line.setExecutionExceptionHandler((fault, failed, parsed) -> {
--- a/src/main/java/firstage/app/PeersView.java
+++ b/src/main/java/firstage/app/PeersView.java
@@ -84,26 +84,16 @@
                     System.out.printf("%-12s %-10s %-9s %-8s %-8s %-14s %s%n", "name", "zone", "standing", "in view",
                             "link", "since", "version");
                     while (in.nextToken() == JsonToken.START_OBJECT) {
-                        Map<String, String> m = fields(in);
+                        Map<String, String> m = Lines.fields(in);
                         System.out.printf("%-12s %-10s %-9s %-8s %-8s %-14s %s%n", m.get("name"), m.get("zone"),
                                 m.get("standing"), m.get("in view"), m.get("link"), m.get("since"), m.get("version"));
                     }
                 } else if (value == JsonToken.START_OBJECT) {
-                    System.out.println(name + ": " + fields(in));
+                    System.out.println(name + ": " + Lines.fields(in));
                 } else {
                     top.put(name, in.getText());
                 }
             }
         }
     }
-
-    private static Map<String, String> fields(JsonParser in) throws IOException {
-        Map<String, String> fields = new LinkedHashMap<>();
-        while (in.nextToken() == JsonToken.FIELD_NAME) {
-            String name = in.currentName();
-            in.nextToken();
-            fields.put(name, in.getText());
-        }
-        return fields;
-    }
 }
--- a/src/main/java/firstage/app/Yard.java
+++ b/src/main/java/firstage/app/Yard.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
 import firstage.fleet.FleetFault;
 import firstage.fleet.FleetFile;
 import firstage.fleet.FleetPlan;
@@ -13,7 +12,6 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -190,16 +188,10 @@
         }
 
         private static Map<String, String> event(String line) throws IOException {
-            Map<String, String> event = new LinkedHashMap<>();
             try (JsonParser in = new JsonFactory().createParser(line)) {
                 in.nextToken();
-                while (in.nextToken() == JsonToken.FIELD_NAME) {
-                    String name = in.currentName();
-                    in.nextToken();
-                    event.put(name, in.getText());
-                }
+                return Lines.fields(in);
             }
-            return event;
         }
     }
 
--- a/src/main/java/firstage/app/ZonesOrder.java
+++ b/src/main/java/firstage/app/ZonesOrder.java
@@ -31,12 +31,8 @@
     @Override
     public Integer call() throws IOException {
         String order = wanted == Wanted.health ? "none" : wanted.name();
-        String answer;
-        try {
-            answer = PeersView.ask(Assignment.address(address), Peers.ORDERED + " " + order + " " + zone);
-        } catch (IOException silent) {
-            // One that runs answers a view though it knows no such zone.
-            PeersView.ask(Assignment.address(address), Peers.ASKED);
+        String answer = PeersView.ask(Assignment.address(address), Peers.ORDERED + " " + order + " " + zone);
+        if (answer.equals(Peers.NO_ORDER)) {
             throw new IOException("the manager at " + address + " knows no zone '" + zone
                     + "'; see areas in its settings");
         }
--- a/src/main/java/firstage/net/members/Peers.java
+++ b/src/main/java/firstage/net/members/Peers.java
@@ -45,6 +45,8 @@
     public static final String ASKED = "firstage view 1";
     /** What an order begins with; what is wanted and the zone's name follow. */
     public static final String ORDERED = "firstage zone 1";
+    /** The answer to an order that can't be used. */
+    public static final String NO_ORDER = "firstage zone 1 unknown";
     private static final Logger LOG = Logger.getLogger(Peers.class.getName());
     private static final int TICK_MS = 20;
     private static final int MOST = 1_200;
@@ -176,8 +178,10 @@
                 } else if (source.getAddress().isLoopbackAddress()
                         && Arrays.equals(bytes, ASKED.getBytes(StandardCharsets.US_ASCII))) {
                     channel.sendTo(source, ByteBuffer.wrap(told().getBytes(StandardCharsets.UTF_8)));
-                } else if (source.getAddress().isLoopbackAddress() && ordered(bytes)) {
-                    channel.sendTo(source, ByteBuffer.wrap(told().getBytes(StandardCharsets.UTF_8)));
+                } else if (source.getAddress().isLoopbackAddress()
+                        && new String(bytes, StandardCharsets.UTF_8).startsWith(ORDERED + " ")) {
+                    String answer = ordered(bytes) ? told() : NO_ORDER;
+                    channel.sendTo(source, ByteBuffer.wrap(answer.getBytes(StandardCharsets.UTF_8)));
                 } else {
                     counters.count("datagrams from nobody");
                 }
@@ -191,7 +195,7 @@
     private boolean ordered(byte[] bytes) {
         String[] words = new String(bytes, StandardCharsets.UTF_8).split(" ", 5);
         int zone = words.length < 5 ? -1 : areas.indexOf(words[4]);
-        if (zone < 0 || !String.join(" ", List.of(words).subList(0, 3)).equals(ORDERED)) {
+        if (zone < 0) {
             return false;
         }
         for (Zones.Order order : Zones.Order.values()) {
