--- a/src/main/java/firstage/yard/YardRun.java
+++ b/src/main/java/firstage/yard/YardRun.java
@@ -533,7 +533,7 @@
         for (FleetPlan.Expect x : plan.expects()) {
             Double is = figures.get(x.figure());
             if (is < x.least() || is > x.most()) {
-                missed.add(String.format(Locale.ROOT, "%s is %.4f, wanted %s", x.figure(), is, x.least() > -1e9
+                missed.add(String.format(Locale.ROOT, "%s is %.4f, wanted %s", x.figure(), is, is < x.least()
                         ? "at least " + x.least() : "at most " + x.most()));
             }
         }
