--- a/src/main/java/firstage/app/Serve.java
+++ b/src/main/java/firstage/app/Serve.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import firstage.net.Assignment;
 import firstage.net.Node;
+import firstage.net.members.PeerList;
 import firstage.setup.MalformedLine;
 import java.io.FileNotFoundException;
 import java.io.IOException;
@@ -66,7 +67,11 @@
         // By itself a JVM ends on SIGHUP; one that ignores it once can't be told to listen again.
         boolean deaf = Signal.handle(new Signal("HUP"), signal -> hangUps.release()) == SignalHandler.SIG_IGN;
         Assignment told = read();
-        Node node = new Node(told, peers == null ? null : PeersFile.read(peers, told.name()));
+        PeerList list = peers == null ? null : PeersFile.read(peers, told.name());
+        if (list != null) {
+            PeersFile.hold(list);
+        }
+        Node node = new Node(told, list);
         Signal.handle(new Signal("TERM"), signal -> {
             ending = true;
             if (serves) {
--- /dev/null
+++ b/src/main/java/firstage/cells/CellPlan.java
@@ -0,0 +1,71 @@
+package firstage.cells;
+
+import firstage.overload.Rendezvous;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.IntStream;
+import net.openhft.hashing.LongHashFunction;
+
+/**
+ * Which cells there are and which engines each serves, as all managers have it from their files. An engine belongs to
+ * so many cells of its own zone ({@code spread}), the first by rendezvous of its id and the cells' names: who holds the
+ * same plan answers alike without a word, and a cell that comes or goes moves no engine between two others.
+ *
+ * <p>{@code number}: a later plan has a higher one.
+ */
+public record CellPlan(int number, int spread, List<Cell> cells) {
+    /** {@code slots}: managers in it; {@code serves}: false for one whose engines are taken over by others. */
+    public record Cell(String name, String zone, int slots, boolean serves) {
+    }
+
+    /** What makes two plans the same; equal numbers with different marks are an operator's slip. */
+    public int mark() {
+        StringBuilder text = new StringBuilder().append(number).append(' ').append(spread);
+        cells.forEach(c -> text.append(' ').append(c.name).append(' ').append(c.zone).append(' ').append(c.slots)
+                .append(' ').append(c.serves));
+        return (int) LongHashFunction.xx3().hashChars(text);
+    }
+
+    /** The place of a cell; -1 where there is none of the name. */
+    public int index(String name) {
+        return IntStream.range(0, cells.size()).filter(c -> cells.get(c).name.equals(name)).findFirst().orElse(-1);
+    }
+
+    /** The part of each engine that one manager of this cell has: over all that serve an engine they make one. */
+    public double part(int cell) {
+        return 1.0 / (spread * cells.get(cell).slots);
+    }
+
+    /** The cells that serve an engine, by place; none where its zone has none. */
+    public List<Integer> serving(long engine, String zone) {
+        List<Integer> all = new ArrayList<>();
+        for (int c = 0; c < cells.size(); c++) {
+            if (cells.get(c).serves && cells.get(c).zone.equals(zone)) {
+                all.add(c);
+            }
+        }
+        all.sort(Comparator.comparing((Integer c) -> cells.get(c),
+                (a, b) -> Long.compareUnsigned(Rendezvous.rank(engine, b.name), Rendezvous.rank(engine, a.name)))
+                .thenComparing(c -> cells.get(c).name));
+        return all.subList(0, Math.min(spread, all.size()));
+    }
+
+    /** Whether this cell is among those that serve the engine; looks at each cell of the zone once and sorts none. */
+    public boolean serves(int cell, long engine, String zone) {
+        Cell mine = cells.get(cell);
+        if (!mine.serves || !mine.zone.equals(zone)) {
+            return false;
+        }
+        long rank = Rendezvous.rank(engine, mine.name);
+        int before = 0;
+        for (Cell c : cells) {
+            if (c != mine && c.serves && c.zone.equals(zone)) {
+                long other = Rendezvous.rank(engine, c.name);
+                before += Long.compareUnsigned(other, rank) > 0
+                        || other == rank && c.name.compareTo(mine.name) < 0 ? 1 : 0;
+            }
+        }
+        return before < spread;
+    }
+}
--- a/src/main/java/firstage/lab/MembersField.java
+++ b/src/main/java/firstage/lab/MembersField.java
@@ -4,6 +4,7 @@
 import firstage.members.Entry;
 import firstage.members.Leases;
 import firstage.members.Members;
+import firstage.members.Message;
 import firstage.members.Standing;
 import firstage.members.View;
 import java.util.ArrayList;
@@ -127,7 +128,7 @@
         }
 
         @Override
-        public void send(int seed, byte[] datagram) {
+        public void send(int seed, Message.Kind kind, byte[] datagram) {
             bytes += datagram.length;
             int from = number;
             if (seed != number && !cut[from][seed] && chance.nextDouble() >= loss) {
--- a/src/main/java/firstage/members/Leases.java
+++ b/src/main/java/firstage/members/Leases.java
@@ -53,6 +53,7 @@
     }
 
     private final int all;
+    private final double part;
     private final int majority;
     private final int enough;
     private final long lasts;
@@ -76,7 +77,16 @@
      * {@code lentBefore}: the life before may have withdrawn words.
      */
     public Leases(int all, long period, boolean lentBefore, Keeper keeper, Fault fault) {
+        this(all, 1.0 / Math.max(1, all), period, lentBefore, keeper, fault);
+    }
+
+    /**
+     * In a fleet of cells: {@code all} in this manager's cell, {@code part} of each engine that is its own. Words are
+     * among those of a cell only, so their length and their majority do not grow with the fleet.
+     */
+    public Leases(int all, double part, long period, boolean lentBefore, Keeper keeper, Fault fault) {
         this.all = Math.max(1, all);
+        this.part = part;
         this.lentBefore = lentBefore && fault != Fault.FORGETS_ITS_LIFE_BEFORE;
         this.keeper = keeper;
         this.fault = fault;
@@ -151,7 +161,7 @@
         share = -1;
     }
 
-    /** The part of each engine that this manager may use at this moment; 1 over the number of managers is its share. */
+    /** The part of each engine that this manager may use at this moment. */
     public double share(long now) {
         if (share < 0 || now >= shareUntil) {
             reckon(now);
@@ -163,7 +173,7 @@
         shareUntil = Long.MAX_VALUE;
         words.values().removeIf(until -> until <= now);
         words.values().forEach(until -> shareUntil = Math.min(shareUntil, until));
-        double base = 1.0 / all;
+        double base = part;
         // Its own word counts for itself, and is never withdrawn.
         boolean whole = words.size() + 1 >= enough;
         share = base * (whole ? 1 : FLOOR);
--- a/src/main/java/firstage/members/Members.java
+++ b/src/main/java/firstage/members/Members.java
@@ -73,8 +73,8 @@
 
     /** Carries the effects out; none of them calls back before it returns. */
     public interface Carrier {
-        /** To the peer that is reached at this place of the seeds. */
-        void send(int seed, byte[] datagram);
+        /** To the peer that is reached at this place of the seeds; {@code kind}: of the message, for what counts them. */
+        void send(int seed, Message.Kind kind, byte[] datagram);
 
         /** A new view is in force. */
         void changed(long now, View view);
@@ -469,7 +469,7 @@
 
     private void send(long now, int seed, Message m) {
         if (seed >= 0) {
-            carrier.send(seed, codec.write(m));
+            carrier.send(seed, m.kind(), codec.write(m));
         }
     }
 
--- a/src/main/java/firstage/net/Node.java
+++ b/src/main/java/firstage/net/Node.java
@@ -96,7 +96,7 @@
         follower = new Follower(io, clock, counters, this, assignment);
         manager = new Brain(assignment.deployment(), this);
         this.peers = peers == null ? null : new Peers(peers, assignment, System.currentTimeMillis(), io, clock,
-                counters, this::keepAway, this::cut);
+                counters, this::keepAway, this::cut, freed -> tellListed(EngineList.Kind.CHANGES, freed));
         share = 1.0 / assignment.deployment().managers();
     }
 
@@ -452,6 +452,10 @@
 
     @Override
     public void listed(EngineList.Kind kind, List<Listed> entries) {
+        tellListed(kind, peers == null ? entries : peers.served(kind, entries));
+    }
+
+    private void tellListed(EngineList.Kind kind, List<Listed> entries) {
         List<EngineList.Entry> told = new ArrayList<>();
         for (Listed e : entries) {
             int index = ids.of(e.id());
--- a/src/main/java/firstage/net/members/Peers.java
+++ b/src/main/java/firstage/net/members/Peers.java
@@ -2,17 +2,22 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import firstage.cells.Cells;
+import firstage.cells.Sieve;
 import firstage.door.Deployment;
+import firstage.door.EngineList;
 import firstage.evacuation.Together;
 import firstage.evacuation.Zones;
 import firstage.members.Entry;
 import firstage.members.Leases;
 import firstage.members.Members;
+import firstage.members.Message;
 import firstage.members.Standing;
 import firstage.members.View;
 import firstage.net.Assignment;
 import firstage.net.Clock;
 import firstage.net.Counters;
+import firstage.net.Tidings.Listed;
 import firstage.overload.Level;
 import firstage.overload.Trials;
 import java.io.IOException;
@@ -25,13 +30,17 @@
 import java.nio.file.StandardOpenOption;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.logging.Logger;
-import java.util.stream.Collectors;
+import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import java.util.stream.Collectors;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.XnioIoThread;
@@ -40,7 +49,7 @@
 import org.xnio.channels.SocketAddressBuffer;
 
 /** The membership's datagrams, clock and log, all on the one I/O thread. */
-public final class Peers implements Members.Carrier {
+public final class Peers implements Members.Carrier, Cells.Effects {
     /** What a view is asked for by, from this machine only. */
     public static final String ASKED = "firstage view 1";
     /** What an order begins with; what is wanted and the zone's name follow. */
@@ -55,6 +64,9 @@
     /** What lay there during a stop is read within this after it. */
     private static final long READS = 1_000;
     private static final int MOST_A_LOOK = 64;
+    /** Cells that an answer names in each of its lists. */
+    private static final int MOST_NAMED = 8;
+    private static final Set<String> CELL_NOTES = Set.of("met", "silent", "heard again", "follows", "differs");
     private final PeerList list;
     private final Clock clock;
     private final Counters counters;
@@ -63,21 +75,29 @@
     private final Leases leases;
     private final Together together;
     private final List<String> areas;
+    /** Null where the fleet is one; so is the sieve. */
+    private final Cells cells;
+    private final Sieve<Listed> sieve;
+    private final Consumer<List<Listed>> free;
     private final Map<InetSocketAddress, Integer> seeds = new HashMap<>();
+    /** Where managers of other cells are. */
+    private final Set<InetSocketAddress> others = new HashSet<>();
     private final ByteBuffer shared = ByteBuffer.allocateDirect(MOST + 1);
     private final SocketAddressBuffer from = new SocketAddressBuffer();
     private MulticastMessageChannel channel;
     private boolean closed;
+    /** The place whose datagram is being read. */
+    private int reading;
     private long tickedAt;
     private long wokeAt = Long.MIN_VALUE / 4;
     private long stoppedFor;
 
     /**
      * {@code started}: Unix ms, the number of this life; {@code keepAway}, {@code cut}: what the managers together
-     * decide for this one.
+     * decide for this one; {@code free}: is told of engines that it may use from now on.
      */
     public Peers(PeerList list, Assignment assignment, long started, XnioIoThread io, Clock clock, Counters counters,
-                 Trials.Effects keepAway, Level.Effects cut) {
+                 Trials.Effects keepAway, Level.Effects cut, Consumer<List<Listed>> free) {
         this.list = list;
         Deployment deployment = assignment.deployment();
         areas = List.of(assignment.settings().text("areas", "").split(","));
@@ -98,12 +118,33 @@
         this.io = io;
         this.clock = clock;
         this.counters = counters;
+        this.free = free;
         list.addresses().forEach(a -> seeds.put(a, seeds.size()));
+        PeerList.InCells in = list.in();
+        RandomGeneratorFactory<RandomGenerator> chances = RandomGeneratorFactory.of("L64X128MixRandom");
+        cells = in == null ? null : new Cells(in.plan(), in.before(), in.cell(), in.slot(), list.name(), list.fleet(),
+                started, chances.create(~seed), this, Cells.Fault.NONE);
+        sieve = in == null ? null : new Sieve<>(cells, Listed::id, e -> area(e.zone()),
+                e -> e.standing() == EngineList.Standing.LEFT);
+        if (in != null) {
+            in.addresses().forEach(others::addAll);
+            others.removeAll(list.addresses());
+        }
         String version = Peers.class.getPackage().getImplementationVersion();
-        leases = new Leases(all, list.period(), Files.exists(list.mark()), this::keep, Leases.Fault.NONE);
+        leases = new Leases(in == null ? all : list.addresses().size(), in == null ? 1.0 / all
+                : in.plan().part(in.cell()), list.period(), Files.exists(list.mark()), this::keep, Leases.Fault.NONE);
         members = new Members(list.fleet(), new Entry(list.name(), list.zone(), started, Standing.HERE,
                 version == null ? "" : version, list.weight()), seeds.size(), list.period(), MOST,
-                RandomGeneratorFactory.of("L64X128MixRandom").create(seed), leases, this, Members.Fault.NONE);
+                chances.create(seed), leases, this, Members.Fault.NONE);
+    }
+
+    private String area(int zone) {
+        return zone >= 0 && zone < areas.size() ? areas.get(zone) : "";
+    }
+
+    /** Of an event of the list what this manager may use; all of it where the fleet is one. */
+    public List<Listed> served(EngineList.Kind kind, List<Listed> entries) {
+        return sieve == null ? entries : sieve.pass(kind != EngineList.Kind.CHANGES, entries);
     }
 
     /** Listens. */
@@ -139,6 +180,9 @@
             }
             tickedAt = now;
             members.tick(clock.now());
+            if (cells != null) {
+                cells.tick(clock.now());
+            }
             io.executeAfter(this::tick, TICK_MS, TimeUnit.MILLISECONDS);
         }
     }
@@ -174,7 +218,10 @@
                 InetSocketAddress source = from.getSourceAddress(InetSocketAddress.class);
                 Integer seed = seeds.get(source);
                 if (seed != null) {
+                    reading = seed;
                     members.received(clock.now(), seed, bytes);
+                } else if (others.contains(source)) {
+                    cells.received(clock.now(), bytes);
                 } else if (source.getAddress().isLoopbackAddress()
                         && Arrays.equals(bytes, ASKED.getBytes(StandardCharsets.US_ASCII))) {
                     channel.sendTo(source, ByteBuffer.wrap(told().getBytes(StandardCharsets.UTF_8)));
@@ -227,6 +274,9 @@
             out.writeStringField("zones ordered", together.ordered().entrySet().stream()
                     .map(e -> areas.get(e.getKey()) + " " + e.getValue().name().toLowerCase(Locale.ROOT))
                     .collect(Collectors.joining(" ")));
+            if (cells != null) {
+                tellCells(out, now);
+            }
             out.writeArrayFieldStart("members");
             for (Entry e : members.entries()) {
                 out.writeStartObject();
@@ -251,6 +301,31 @@
         return text.toString();
     }
 
+    /** The cells in two numbers and, where not all is well, by name: one answer must fit into a datagram. */
+    private void tellCells(JsonGenerator out, long now) throws IOException {
+        PeerList.InCells in = list.in();
+        List<Cells.Known> known = cells.known(now);
+        out.writeStringField("cell", in.plan().cells().get(in.cell()).name());
+        out.writeNumberField("plan", in.plan().number());
+        out.writeNumberField("cells", known.size());
+        out.writeNumberField("cells heard", known.stream().filter(k -> k.standing() == Cells.Standing.HEARD).count());
+        out.writeNumberField("managers here", known.stream().mapToInt(Cells.Known::here).sum());
+        out.writeStringField("cells silent", some(known.stream().filter(k -> k.standing() == Cells.Standing.SILENT)
+                .map(Cells.Known::name).toList()));
+        out.writeStringField("cells short", some(known.stream().filter(k -> k.here() < k.slots()
+                && k.standing() == Cells.Standing.HEARD).map(k -> k.name() + ":" + k.here() + "/" + k.slots())
+                .toList()));
+        out.writeStringField("cells shedding", some(known.stream().filter(k -> k.cut() > 0)
+                .map(k -> k.name() + ":" + k.cut()).toList()));
+        out.writeStringField("plan not held by", some(cells.behind()));
+        out.writeNumberField("engines waited for", sieve.awaited());
+    }
+
+    private static String some(List<String> names) {
+        return String.join(" ", names.subList(0, Math.min(MOST_NAMED, names.size())))
+                + (names.size() > MOST_NAMED ? " and " + (names.size() - MOST_NAMED) + " more" : "");
+    }
+
     /** It ends by intent; the others are told. */
     public void leave() {
         members.leave(clock.now());
@@ -259,14 +334,29 @@
     public void close() {
         closed = true;
         members.refused().forEach((why, n) -> counters.add("datagrams refused: " + why, n));
+        if (cells != null) {
+            cells.refused().forEach((why, n) -> counters.add("rows refused: " + why, n));
+        }
         IoUtils.safeClose(channel);
     }
 
     @Override
-    public void send(int seed, byte[] datagram) {
+    public void send(int seed, Message.Kind kind, byte[] datagram) {
+        if (list.in() == null || seed != list.in().slot()) {
+            send(list.addresses().get(seed), datagram);
+        }
+    }
+
+    @Override
+    public void send(int cell, int slot, byte[] datagram) {
+        send(list.in().addresses().get(cell).get(slot), datagram);
+    }
+
+    private void send(InetSocketAddress to, byte[] datagram) {
         try {
             counters.count("datagrams out");
-            if (!channel.sendTo(list.addresses().get(seed), ByteBuffer.wrap(datagram))) {
+            counters.add("datagrams' bytes out", datagram.length);
+            if (!channel.sendTo(to, ByteBuffer.wrap(datagram))) {
                 counters.count("datagrams not sent");
             }
         } catch (IOException nobody) {
@@ -274,26 +364,46 @@
         }
     }
 
+    @Override
+    public void freed(long now) {
+        List<Listed> may = sieve.freed();
+        if (!may.isEmpty()) {
+            LOG.info(() -> "cell {\"engines taken over\":" + may.size() + "}");
+            free.accept(may);
+        }
+    }
+
+    @Override
+    public int cut() {
+        return together.cut();
+    }
+
     @Override
     public void changed(long now, View view) {
         together.viewed(view.names());
+        if (cells != null) {
+            cells.viewed(view.names());
+        }
         LOG.info(() -> "view {\"number\":" + view.number() + ",\"members\":\"" + String.join(" ", view.names())
                 + "\",\"share\":" + String.format(Locale.ROOT, "%.4f", leases.share(now)) + "}");
     }
 
     @Override
     public void note(long now, String what, String who, String why) {
-        LOG.info(() -> "member {\"is\":\"" + what + "\",\"name\":\"" + who + "\",\"why\":\"" + why + "\"}");
+        // Notes of cells and of members differ by what they say; names may be alike.
+        LOG.info(() -> (CELL_NOTES.contains(what) ? "cell" : "member") + " {\"is\":\"" + what + "\",\"name\":\"" + who
+                + "\",\"why\":\"" + why + "\"}");
     }
 
     @Override
     public byte[] digest(long now) {
-        return together.digest(now);
+        byte[] rest = together.digest(now);
+        return cells == null ? rest : cells.digest(rest);
     }
 
     @Override
     public void digested(long now, String name, byte[] digest) {
-        together.digested(now, name, digest);
+        together.digested(now, name, cells == null ? digest : cells.digested(now, reading, digest));
     }
 
     /** What this manager works out with the others; on the I/O thread. */
--- a/src/main/java/firstage/overload/Level.java
+++ b/src/main/java/firstage/overload/Level.java
@@ -48,6 +48,10 @@
         void cut(long now, int band, double part);
     }
 
+    /** Up to so many members each message tells all rows; beyond, rows go by turns and cost the same for any size. */
+    private static final int ALL_AT_ONCE = 24;
+    private static final int BY_TURNS = 6;
+
     /** Faults put back one at a time. */
     public enum Fault { NONE, NO_PEERS, NEVER_OLD, OLDER_WINS, NO_LIMIT, WAITS_UNSEEN, NO_WAY_BACK }
 
@@ -125,8 +129,9 @@
         return now - t.at < FRESH || fault == Fault.NEVER_OLD;
     }
 
-    /** What this manager tells: its own row first, then those it was told, by turns where {@code most} is too few. */
-    public List<Row> rows(long now, int most) {
+    /** What this manager tells: its own row first, then those it was told, by turns where there is no room for all. */
+    public List<Row> rows(long now, int room) {
+        int most = view.size() > ALL_AT_ONCE ? Math.min(room, BY_TURNS) : room;
         List<Row> others = others(now);
         List<Row> rows = new ArrayList<>(List.of(mine(now)));
         for (int i = 0; i < others.size() && rows.size() < most; i++) {
--- /dev/null
+++ b/src/main/java/firstage/scale/Slopes.java
@@ -0,0 +1,191 @@
+package firstage.scale;
+
+import firstage.lab.CellsField;
+import firstage.lab.CellsField.Kind;
+import firstage.lab.CellsField.Place;
+import firstage.lab.CellsField.Shape;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.apache.commons.math3.stat.descriptive.DescriptiveStatistics;
+import org.apache.commons.math3.stat.regression.SimpleRegression;
+
+/**
+ * What control costs a manager by the size of the fleet, played in virtual time: one row of figures a size, and the
+ * slope of each against the managers with its error. All of it simulated. Times are tenths of a millisecond.
+ */
+public final class Slopes {
+    /** Unit: tenths of a millisecond. */
+    private static final long SECOND = 10_000;
+    /** All are started within this, as a fleet that comes back from a power cut. */
+    private static final long START = SECOND;
+    /** A mass restart kills so many at once; they are back within {@link #BACK} of each other. */
+    private static final double RESTARTED = 0.7;
+    private static final long BACK = 3 * SECOND;
+    /** 1,800 restarts a day are one in 48 s; a manager is away for so long. */
+    private static final long ONE_IN = 48 * SECOND;
+    private static final long AWAY = 2 * SECOND;
+    private static final int KILLS = 3;
+
+    private Slopes() {
+    }
+
+    /** What is measured of one size; {@code deep}: the mass restart and the day's restarts too. */
+    public static Map<String, Double> play(Shape shape, long seed, boolean deep) {
+        Map<String, Double> row = new LinkedHashMap<>();
+        row.put("managers", (double) shape.managers());
+        CellsField f = new CellsField(shape, seed);
+        start(f, shape, row);
+        long[] before = new long[Kind.values().length];
+        f.bytes().forEach((k, b) -> before[k.ordinal()] = b);
+        long datagrams = f.datagrams();
+        f.pass(10 * SECOND);
+        double all = 0;
+        for (Map.Entry<Kind, Long> e : f.bytes().entrySet()) {
+            double rate = (e.getValue() - before[e.getKey().ordinal()]) / 10.0 / shape.managers();
+            row.put("bytes a s, " + e.getKey().name().toLowerCase(Locale.ROOT), rate);
+            all += rate;
+        }
+        row.put("bytes a s", all);
+        row.put("datagrams a s", (f.datagrams() - datagrams) / 10.0 / shape.managers());
+        row.put("most bytes a s of one", most(f, 5));
+        ages(f, row);
+        kills(f, row);
+        if (deep) {
+            restarts(f, shape, row, 20);
+            massRestart(f, shape, row);
+        }
+        return row;
+    }
+
+    private static void start(CellsField f, Shape shape, Map<String, Double> row) {
+        for (Place p : f.places()) {
+            f.calendar().in(f.chance().nextLong(START), p::start);
+        }
+        double worst = 0;
+        long since = f.calendar().now();
+        long sum = 0;
+        long agreed = -1;
+        double shares = 0;
+        for (int second = 1; second <= 20; second++) {
+            for (int step = 0; step < 10; step++) {
+                f.pass(SECOND / 10);
+                if (agreed < 0 && f.calendar().now() - since >= START && f.agreed() == shape.cells()) {
+                    agreed = f.calendar().now() - since;
+                }
+            }
+            long now = f.bytes().values().stream().mapToLong(b -> b).sum();
+            worst = Math.max(worst, (double) (now - sum) / shape.managers());
+            sum = now;
+            shares = second == 10 ? f.inForce() : shares;
+        }
+        row.put("start: worst second, bytes", worst);
+        row.put("start: to one view, s", agreed < 0 ? -1 : agreed / 1e4);
+        row.put("start: slices in force at 10 s", shares);
+        row.put("start: slices in force at 20 s", f.inForce());
+    }
+
+    /** The most that one manager sent in any of so many seconds. */
+    private static double most(CellsField f, int seconds) {
+        double most = 0;
+        for (int s = 0; s < seconds; s++) {
+            List<Long> before = f.places().stream().map(Place::bytes).toList();
+            f.pass(SECOND);
+            for (int p = 0; p < before.size(); p++) {
+                most = Math.max(most, f.places().get(p).bytes() - before.get(p));
+            }
+        }
+        return most;
+    }
+
+    private static void ages(CellsField f, Map<String, Double> row) {
+        DescriptiveStatistics ages = new DescriptiveStatistics();
+        for (Place p : f.places()) {
+            if (p.up() && p.cells() != null) {
+                p.cells().known(f.calendar().now()).forEach(k -> ages.addValue(k.age() < 0 ? 99 : k.age() / 1e4));
+            }
+        }
+        if (ages.getN() > 0) {
+            row.put("age of rows, median, s", ages.getPercentile(50));
+            row.put("age of rows, 99th, s", ages.getPercentile(99));
+        }
+    }
+
+    private static void kills(CellsField f, Map<String, Double> row) {
+        DescriptiveStatistics known = new DescriptiveStatistics();
+        for (int i = 0; i < KILLS; i++) {
+            int who = f.chance().nextInt(f.places().size());
+            f.places().get(who).kill();
+            f.untilOut(who, 10 * SECOND).forEach(t -> known.addValue(t < 0 ? 99 : t / 1e4));
+            f.places().get(who).start();
+            f.pass(5 * SECOND);
+        }
+        row.put("a kill known, median, s", known.getPercentile(50));
+        row.put("a kill known, 99th, s", known.getPercentile(99));
+    }
+
+    /** Restarts as on an ordinary day, at so many times its pace, for 60 s. */
+    private static void restarts(CellsField f, Shape shape, Map<String, Double> row, int times) {
+        // The page's pace is of 2,600 managers; a smaller fleet has as many fewer.
+        long every = Math.round((double) ONE_IN / times * 2_600 / shape.managers());
+        long before = f.bytes().values().stream().mapToLong(b -> b).sum();
+        double least = 1;
+        long next = every;
+        for (long t = 0; t < 60 * SECOND; t += SECOND / 2) {
+            if (t >= next) {
+                next += every;
+                Place p = f.places().get(f.chance().nextInt(f.places().size()));
+                if (p.up()) {
+                    p.leave();
+                    f.calendar().in(AWAY, p::start);
+                }
+            }
+            f.pass(SECOND / 2);
+            least = Math.min(least, f.inForce());
+        }
+        long after = f.bytes().values().stream().mapToLong(b -> b).sum();
+        row.put("restarts at " + times + " times the pace: bytes a s", (after - before) / 60.0 / shape.managers());
+        row.put("restarts at " + times + " times the pace: least slices in force", least);
+        f.pass(5 * SECOND);
+    }
+
+    private static void massRestart(CellsField f, Shape shape, Map<String, Double> row) {
+        List<Place> all = new ArrayList<>(f.places());
+        Collections.shuffle(all, new java.util.Random(f.chance().nextLong()));
+        List<Place> killed = all.subList(0, (int) (all.size() * RESTARTED)).stream().filter(Place::up).toList();
+        killed.forEach(Place::kill);
+        for (Place p : killed) {
+            f.calendar().in(SECOND / 2 + f.chance().nextLong(BACK), p::start);
+        }
+        double worst = 0;
+        long sum = f.bytes().values().stream().mapToLong(b -> b).sum();
+        long since = f.calendar().now();
+        long agreed = -1;
+        double inForce = -1;
+        for (int step = 1; step <= 600 && (agreed < 0 || inForce < 0); step++) {
+            f.pass(SECOND / 10);
+            if (step % 10 == 0) {
+                long now = f.bytes().values().stream().mapToLong(b -> b).sum();
+                worst = Math.max(worst, (double) (now - sum) / shape.managers());
+                sum = now;
+            }
+            boolean back = f.calendar().now() - since > BACK + SECOND / 2;
+            agreed = agreed < 0 && back && f.agreed() == shape.cells() ? f.calendar().now() - since : agreed;
+            inForce = inForce < 0 && back && f.inForce() > 0.999 ? f.calendar().now() - since : inForce;
+        }
+        row.put("seven in ten restarted: worst second, bytes", worst);
+        row.put("seven in ten restarted: one view after, s", agreed / 1e4);
+        row.put("seven in ten restarted: all slices in force after, s", inForce / 1e4);
+    }
+
+    /** The slope of a figure against the managers, a thousand of them, and its standard error. */
+    public static double[] slope(List<Map<String, Double>> rows, String figure) {
+        SimpleRegression fit = new SimpleRegression();
+        rows.stream().filter(r -> r.containsKey(figure)).forEach(r -> fit.addData(r.get("managers") / 1e3,
+                r.get(figure)));
+        return new double[] {fit.getSlope(), fit.getSlopeStdErr()};
+    }
+}
--- a/src/test/java/firstage/ArrowsTest.java
+++ b/src/test/java/firstage/ArrowsTest.java
@@ -19,7 +19,7 @@
 @AnalyzeClasses(packages = "firstage", importOptions = ImportOption.DoNotIncludeTests.class)
 class ArrowsTest {
     private static final String[] FREE = {"firstage", "firstage.door", "firstage.state", "firstage.life",
-            "firstage.fleet", "firstage.members", "firstage.overload", "firstage.evacuation"};
+            "firstage.fleet", "firstage.members", "firstage.overload", "firstage.evacuation", "firstage.cells"};
 
     @ArchTest
     final ArchRule WITHOUT_IO = noClasses().that().resideInAnyPackage(FREE).should().dependOnClassesThat()
@@ -39,10 +39,10 @@
     @ArchTest
     final ArchRule SERVES_ALONE = noClasses().that().resideInAnyPackage("firstage", "firstage.door..",
             "firstage.state..", "firstage.setup..", "firstage.life..", "firstage.members..",
-                    "firstage.overload..", "firstage.evacuation..", "firstage.net..",
+                    "firstage.overload..", "firstage.evacuation..", "firstage.cells..", "firstage.net..",
                     "firstage.benchlink..",
                     "org.xnio..")
             .should().dependOnClassesThat().resideInAnyPackage("firstage.fleet..", "firstage.lab..", "firstage.yard..",
-                    "firstage.standin..", "picocli..",
+                    "firstage.standin..", "firstage.scale..", "picocli..",
                     "org.knowm..", "org.tomlj..", "org.apache.commons.math3..", "org.HdrHistogram..");
 }
