--- a/src/main/java/firstage/app/Main.java
+++ b/src/main/java/firstage/app/Main.java
@@ -33,6 +33,8 @@
             System.exit(ZonesOrder.run(Arrays.copyOfRange(args, 1, args.length)));
         } else if (args.length >= 1 && args[0].equals("yard")) {
             System.exit(Yard.run(Arrays.copyOfRange(args, 1, args.length)));
+        } else if (args.length >= 1 && args[0].equals("scale")) {
+            System.exit(Scale.run(Arrays.copyOfRange(args, 1, args.length)));
         } else if (args.length >= 3 && args.length <= 4 && args[0].equals("hostile")) {
             try {
                 System.exit(Hostile.run(List.of(args).subList(1, args.length)));
@@ -41,7 +43,7 @@
             }
         } else {
             end("usage: java -jar firstage.jar benchlink | serve [--peers FILE] | rehearse"
-                    + " | hostile FIRST COUNT [FAULT] | fleet | yard | peers | zones");
+                    + " | hostile FIRST COUNT [FAULT] | fleet | yard | scale | peers | zones");
         }
     }
 
--- a/src/main/java/firstage/app/PeersFile.java
+++ b/src/main/java/firstage/app/PeersFile.java
@@ -141,7 +141,8 @@
         if (in == null) {
             for (String key : List.of("plan", "spread", "before")) {
                 if (toml.get(List.of(key)) != null) {
-                    throw fault(key, "is of a fleet in cells; write [[cell]] with name, zone and hosts, or leave it out");
+                    throw fault(key, "is of a fleet in cells; write [[cell]] with name, zone and hosts, or leave"
+                            + " it out");
                 }
             }
         } else if (toml.get(List.of("peer")) != null) {
--- a/src/main/java/firstage/fleet/FleetFile.java
+++ b/src/main/java/firstage/fleet/FleetFile.java
@@ -97,7 +97,7 @@
     }
 
     private static FleetPlan.Managers managers(Section s) {
-        FleetPlan.Managers m = new FleetPlan.Managers(s.whole("count", 1, 1_000, null), s.share("unequal", 0.0),
+        FleetPlan.Managers m = new FleetPlan.Managers(s.whole("count", 1, 4_000, null), s.share("unequal", 0.0),
                 s.times("list_delay", "1 s to 3 s"), s.flag("probes", false), s.flag("second_copies", false),
                 s.flag("call_off", false), s.whole("dispatches", 1, 100, 6), s.times("restart", "500 ms to 1500 ms"));
         s.done();
--- a/src/main/java/firstage/fleet/Section.java
+++ b/src/main/java/firstage/fleet/Section.java
@@ -11,7 +11,7 @@
 import org.tomlj.TomlTable;
 
 /** One table of the file, and which of its keys were asked for. */
-final class Section {
+public final class Section {
     private static final Pattern FIGURE = Pattern.compile("\\s*([0-9]+(?:\\.[0-9]+)?)\\s*([a-zA-Z%]*)\\s*");
     private static final Map<String, Double> TIMES = Map.of("ms", 10.0, "s", 10_000.0, "min", 600_000.0, "h", 3.6e7);
     private static final Map<String, Double> SIZES = Map.of("MB", 1.0, "GB", 1_024.0);
@@ -20,13 +20,13 @@
     private final int line;
     private final Set<String> known = new LinkedHashSet<>();
 
-    Section(TomlTable table, String path, int line) {
+    public Section(TomlTable table, String path, int line) {
         this.table = table;
         this.path = path;
         this.line = line;
     }
 
-    int line() {
+    public int line() {
         return line;
     }
 
@@ -41,13 +41,13 @@
         return value == null ? absent : value;
     }
 
-    FleetFault fault(String key, String what) {
+    public FleetFault fault(String key, String what) {
         int at = table == null || table.inputPositionOf(List.of(key)) == null ? line
                 : table.inputPositionOf(List.of(key)).line();
         return new FleetFault(at, (path.isEmpty() ? "" : path + ".") + key + ": " + what);
     }
 
-    String text(String key, String absent) {
+    public String text(String key, String absent) {
         Object value = value(key, absent, "\"...\"");
         if (value instanceof String text) {
             return text;
@@ -55,7 +55,7 @@
         throw fault(key, value + " is no text; write " + key + " = \"" + value + "\"");
     }
 
-    String oneOf(String key, String absent, List<String> words) {
+    public String oneOf(String key, String absent, List<String> words) {
         String text = text(key, absent);
         if (!words.contains(text)) {
             throw fault(key, "'" + text + "' is none of " + String.join(", ", words));
@@ -63,7 +63,7 @@
         return text;
     }
 
-    boolean flag(String key, boolean absent) {
+    public boolean flag(String key, boolean absent) {
         Object value = value(key, absent, "true");
         if (value instanceof Boolean flag) {
             return flag;
@@ -71,7 +71,7 @@
         throw fault(key, value + " is neither true nor false");
     }
 
-    int whole(String key, int least, int most, Integer absent) {
+    public int whole(String key, int least, int most, Integer absent) {
         Object value = value(key, absent == null ? null : (Object) Long.valueOf(absent), String.valueOf(least));
         if (!(value instanceof Long whole)) {
             throw fault(key, value + " is no whole number");
@@ -82,7 +82,7 @@
         return (int) (long) whole;
     }
 
-    double figure(String key, double least, double most, Double absent) {
+    public double figure(String key, double least, double most, Double absent) {
         Object value = value(key, absent, "a number");
         if (!(value instanceof Number number)) {
             throw fault(key, value + " is no number");
@@ -98,7 +98,7 @@
     }
 
     /** From 0 to 1, or as "12%". */
-    double share(String key, Double absent) {
+    public double share(String key, Double absent) {
         Object value = value(key, absent, "\"10%\"");
         double share;
         if (value instanceof String text && text.trim().endsWith("%")) {
@@ -111,7 +111,7 @@
         return bounded(key, share, 0, 1);
     }
 
-    Range figures(String key, double least, double most, String absent) {
+    public Range figures(String key, double least, double most, String absent) {
         Object value = value(key, absent, "a number");
         String text = value instanceof Number ? value.toString() : value instanceof String t ? t : "?";
         Range range = range(key, text, Map.of("", 1.0), "\"1 to 2\"");
@@ -120,16 +120,16 @@
         return range;
     }
 
-    long time(String key, String absent) {
+    public long time(String key, String absent) {
         Object value = value(key, absent, "\"5 s\"");
         return Math.round(figure(key, value, TIMES, "\"5 s\", \"200 ms\", \"2 min\" or \"1 h\""));
     }
 
-    Range times(String key, String absent) {
+    public Range times(String key, String absent) {
         return range(key, value(key, absent, "\"1 s to 3 s\""), TIMES, "\"1 s to 3 s\"");
     }
 
-    double size(String key, String absent) {
+    public double size(String key, String absent) {
         return figure(key, value(key, absent, "\"16 GB\""), SIZES, "\"512 MB\" or \"16 GB\"");
     }
 
@@ -156,7 +156,7 @@
         return Double.parseDouble(m.group(1)) * unit;
     }
 
-    Section table(String key) {
+    public Section table(String key) {
         known.add(key);
         Object value = table.get(List.of(key));
         if (value != null && !(value instanceof TomlTable)) {
@@ -165,7 +165,7 @@
         return new Section((TomlTable) value, key, value == null ? 0 : table.inputPositionOf(List.of(key)).line());
     }
 
-    List<Section> tables(String key) {
+    public List<Section> tables(String key) {
         known.add(key);
         Object value = table.get(List.of(key));
         if (value == null) {
@@ -182,7 +182,7 @@
     }
 
     /** All that was written must have been asked for. */
-    void done() {
+    public void done() {
         if (table == null) {
             return;
         }
--- a/src/main/java/firstage/members/Members.java
+++ b/src/main/java/firstage/members/Members.java
@@ -73,7 +73,7 @@
 
     /** Carries the effects out; none of them calls back before it returns. */
     public interface Carrier {
-        /** To the peer that is reached at this place of the seeds; {@code kind}: of the message, for what counts them. */
+        /** To the peer at this place of the seeds; {@code kind}: of the message, for what counts them. */
         void send(int seed, Message.Kind kind, byte[] datagram);
 
         /** A new view is in force. */
--- a/src/main/java/firstage/net/list/Frames.java
+++ b/src/main/java/firstage/net/list/Frames.java
@@ -7,9 +7,9 @@
 import java.util.List;
 
 /** Cuts the coordinator's frames out of bytes that come in any pieces. */
-final class Frames {
+public final class Frames {
     /** Kind, number and payload of one frame. */
-    record Frame(long number, int kind, ByteBuffer payload) {
+    public record Frame(long number, int kind, ByteBuffer payload) {
     }
 
     private static final int HEAD = 4;
@@ -19,12 +19,12 @@
     private final ByteArrayOutputStream kept = new ByteArrayOutputStream();
 
     /** Whether the beginning of a frame is here and its rest is not. */
-    boolean partial() {
+    public boolean partial() {
         return kept.size() > 0;
     }
 
     /** Takes what is there and gives the frames that are whole. */
-    List<Frame> take(ByteBuffer in) throws IOException {
+    public List<Frame> take(ByteBuffer in) throws IOException {
         byte[] piece = new byte[in.remaining()];
         in.get(piece);
         kept.write(piece, 0, piece.length);
--- a/src/main/java/firstage/yard/Addresses.java
+++ b/src/main/java/firstage/yard/Addresses.java
@@ -9,7 +9,7 @@
  * what
  * it reaches by a way of its own share the second number of the address.
  */
-record Addresses(int port) {
+public record Addresses(int port) {
     private static final int FIRST = 21_000;
     private static final int STEP = 3;
     private static final int TRIES = 2_000;
@@ -18,7 +18,7 @@
     private static final int WAYS = 10;
 
     /** The first port that no other yard holds, from one that differs by process. */
-    static ServerSocket hold() throws IOException {
+    public static ServerSocket hold() throws IOException {
         IOException last = null;
         for (int i = 0; i < TRIES; i++) {
             int port = FIRST + (int) ((ProcessHandle.current().pid() + i) * STEP % 9_000);
@@ -66,7 +66,7 @@
         return at(WAYS + m, 9, 1 + peer);
     }
 
-    static String text(InetSocketAddress at) {
+    public static String text(InetSocketAddress at) {
         return at.getAddress().getHostAddress() + ":" + at.getPort();
     }
 }
--- a/src/main/java/firstage/yard/Managers.java
+++ b/src/main/java/firstage/yard/Managers.java
@@ -14,7 +14,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** The processes of the program: started, signalled, ended by id, also when the tool itself is interrupted. */
-final class Managers implements AutoCloseable {
+public final class Managers implements AutoCloseable {
     private static final int READY_MS = 20_000;
     private static final int LAST_LINES = 8;
     private final List<Process> processes = new ArrayList<>();
@@ -25,7 +25,7 @@
     private final Thread hook = new Thread(this::endAll, "end of the yard");
 
     /** {@code command}: what starts a manager; its configuration is named by the environment. */
-    Managers(Path folder, Path held, List<String> command, int count) {
+    public Managers(Path folder, Path held, List<String> command, int count) {
         this.folder = folder;
         this.held = held;
         this.command = command;
@@ -37,7 +37,7 @@
     }
 
     /** {@code run} of the deploy file, with another jar; without {@code exec}, as no shell stands between. */
-    static List<String> command(String run, Path jar) {
+    public static List<String> command(String run, Path jar) {
         List<String> words = new ArrayList<>(Arrays.asList(run.replaceFirst("^exec ", "").trim().split("\\s+")));
         for (int i = 0; i < words.size(); i++) {
             if (words.get(i).equals("target/firstage.jar")) {
@@ -50,24 +50,20 @@
         return words;
     }
 
-    static Path config(Path folder, int m) {
+    public static Path config(Path folder, int m) {
         return folder.resolve("m" + m + ".json");
     }
 
-    private Path log(int m) {
-        return folder.resolve("logs").resolve("m" + m + ".log");
-    }
-
-    static Path peers(Path folder, int m) {
+    public static Path peers(Path folder, int m) {
         return folder.resolve("m" + m + ".peers.toml");
     }
 
     /** Where yards note whom they started. */
-    static Path notes() {
+    public static Path notes() {
         return Path.of(System.getProperty("java.io.tmpdir"), "firstage-yards");
     }
 
-    void start(int m, boolean peers) throws IOException {
+    public void start(int m, boolean peers) throws IOException {
         Files.createDirectories(log(m).getParent());
         List<String> words = new ArrayList<>(command);
         if (peers) {
@@ -131,7 +127,7 @@
     }
 
     /** Waits until it serves; the message of the exception has its last words. */
-    void awaitReady(int m, InetSocketAddress at) throws IOException {
+    public void awaitReady(int m, InetSocketAddress at) throws IOException {
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MS);
         while (true) {
             if (!processes.get(m).isAlive()) {
@@ -176,7 +172,7 @@
         }
     }
 
-    boolean lives(int m) {
+    public boolean lives(int m) {
         return processes.get(m) != null && processes.get(m).isAlive();
     }
 
@@ -190,14 +186,14 @@
     }
 
     /** KILL aside: TERM, HUP, STOP, CONT. */
-    void signal(int m, String name) throws IOException {
+    public void signal(int m, String name) throws IOException {
         if (lives(m)) {
             new ProcessBuilder("kill", "-" + name, String.valueOf(processes.get(m).pid())).start();
         }
     }
 
     /** Ends by itself within this, or not. */
-    boolean awaitEnd(int m, long ms) {
+    public boolean awaitEnd(int m, long ms) {
         try {
             return processes.get(m).waitFor(ms, TimeUnit.MILLISECONDS);
         } catch (InterruptedException fault) {
@@ -210,6 +206,16 @@
         return processes.get(m).exitValue();
     }
 
+    /** The process of a manager's present life. */
+    public ProcessHandle handle(int m) {
+        return processes.get(m).toHandle();
+    }
+
+    /** Where a manager's words go. */
+    public Path log(int m) {
+        return folder.resolve("logs").resolve("m" + m + ".log");
+    }
+
     /** Processor time used by each life that runs, s; 0 where it is not told. */
     double processorSeconds(int m) {
         return lives(m) ? processes.get(m).toHandle().info().totalCpuDuration().map(d -> d.toMillis() / 1e3).orElse(0.0)
--- a/src/main/java/firstage/yard/Wiring.java
+++ b/src/main/java/firstage/yard/Wiring.java
@@ -11,13 +11,13 @@
 import java.util.Locale;
 
 /** Writes what each manager is told at its start: its configuration by the platform's page, and its peers. */
-final class Wiring {
+public final class Wiring {
     private static final double SECOND = 10_000;
 
     private Wiring() {
     }
 
-    static String engineId(int e) {
+    public static String engineId(int e) {
         return String.format(Locale.ROOT, "s-%08x", e + 1);
     }
 
@@ -77,12 +77,17 @@
     }
 
     private static void settings(JsonGenerator out, FleetPlan plan, int m) throws IOException {
+        settings(out, plan, m, plan.zoneOf(m));
+    }
+
+    /** The settings by the platform's page, of a manager with this number and zone. */
+    public static void settings(JsonGenerator out, FleetPlan plan, int m, int zone) throws IOException {
         out.writeObjectFieldStart("settings");
         array(out, "areas", plan.zones());
         array(out, "kinds", List.of("std"));
         out.writeNumberField("group_size", plan.managers().count());
         out.writeNumberField("rank", m);
-        out.writeNumberField("zone", plan.zoneOf(m));
+        out.writeNumberField("zone", zone);
         out.writeArrayFieldStart("classes");
         for (FleetPlan.Group g : plan.groups()) {
             out.writeStartObject();
--- a/src/test/java/firstage/cells/CellsFieldTest.java
+++ b/src/test/java/firstage/cells/CellsFieldTest.java
@@ -123,7 +123,7 @@
         return f.bytes().values().stream().mapToLong(b -> b).sum() - before;
     }
 
-    /** Managers are killed and started anew with the next plan, under loss and a cut: parts times leases stay within. */
+    /** Managers are killed and started anew with the next plan, under loss and cuts: parts by leases stay within. */
     @ParameterizedTest
     @EnumSource(value = Fault.class, names = {"NONE", "GAINS_AT_ONCE"})
     void whilePlansChangeTheSlicesOfNoEnginePassTheWhole(Fault fault) {
--- a/src/test/java/firstage/net/PeersIT.java
+++ b/src/test/java/firstage/net/PeersIT.java
@@ -35,7 +35,7 @@
         String classes = Files.readString(loaded);
         assertThat(classes).contains("firstage.net.Node").doesNotContain("firstage.members.",
                 "firstage.net.members.Peers",
-                "firstage.overload.", "firstage.evacuation.",
+                "firstage.overload.", "firstage.evacuation.", "firstage.cells.", "firstage.scale.",
                 "dataformat.cbor", "org.tomlj", "picocli", "firstage.yard", "firstage.fleet");
     }
 
@@ -45,6 +45,24 @@
                 .hasSize(1).allMatch(line -> line.contains(" serve\"") && !line.contains("--peers"));
     }
 
+    /** Its word that it gave engines up must hold: started anew with the older file it would use them again. */
+    @Test
+    void aPlanOlderThanTheOneThatWasHeldIsRefused() throws Exception {
+        Path peers = Files.writeString(folder.resolve("peers.toml"), "fleet = 'a'\nlisten = '127.0.0.1:9'\nplan = 7\n"
+                + "[[cell]]\nname = 'c'\nzone = 'z'\nhosts = ['127.0.0.1:9']\n");
+        Files.writeString(folder.resolve("peers.toml.plan"), "8\n");
+        Path config = Files.writeString(folder.resolve("c.json"),
+                "{\"name\":\"m\",\"listen\":\"127.0.0.1:1\",\"settings\":{}}");
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-jar", "target/firstage.jar", "serve", "--peers", peers.toString());
+        builder.environment().put("ROUTER_CONFIG", config.toString());
+        Process p = builder.redirectErrorStream(true).redirectOutput(folder.resolve("out").toFile()).start();
+        assertThat(p.waitFor(30, TimeUnit.SECONDS)).isTrue();
+        assertThat(p.exitValue()).isEqualTo(2);
+        assertThat(Files.readAllLines(folder.resolve("out"))).hasSize(1).allMatch(line -> line.contains(
+                "peers.toml: plan: 7 is older than 8, which this manager held; give it the newer file"));
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "fleet = 'a'~listen = '127.0.0.1:9'~[[peer]]~address = 'x'|:3: peer.address: 'x' is no address",
@@ -52,6 +70,18 @@
         "fleet = 'a'~[[peer]]~address = '127.0.0.1:8'|has no listen; write listen",
         "fleet = 'a'~listen = '127.0.0.1:9'~probe = '1 h'~[[peer]]~address = '127.0.0.1:8'|:3: probe: '1 h' is no time",
         "fleet = 'a'~listen = '127.0.0.1:9'|peer: there are none",
+        "fleet = 'a'~listen = '127.0.0.1:9'~plan = 2~[[peer]]~address = '127.0.0.1:8'|:3: plan: is of a fleet in cells",
+        "fleet = 'a'~listen = '127.0.0.1:9'~[[cell]]~name = 'c'~zone = 'z'~hosts = ['127.0.0.1:9']|plan: null is no",
+        "fleet = 'a'~listen = '127.0.0.1:9'~plan = 1~[[cell]]~name = 'c'~zone = 'z'~hosts = ['x']"
+                + "|cell.hosts: 'x' is no address",
+        "fleet = 'a'~listen = '127.0.0.9:9'~plan = 1~[[cell]]~name = 'c'~zone = 'z'~hosts = ['127.0.0.1-3:9']"
+                + "|listen: stands in no cell's hosts",
+        "fleet = 'a'~listen = '127.0.0.1:9'~plan = 1~spread = 2~[[cell]]~name = 'c'~zone = 'z'~hosts = ['127.0.0.1:9']"
+                + "|:4: spread: zone z has 1 cells that serve; a spread of up to 1 would do",
+        "fleet = 'a'~listen = '127.0.0.1:9'~plan = 2~[[cell]]~name = 'c'~zone = 'z'~hosts = ['127.0.0.1:9']~[before]~"
+                + "plan = 1~cells = ['d']|before.cells: 'd' is no cell of this plan; keep it, with serves = false",
+        "fleet = 'a'~listen = '127.0.0.1:9'~plan = 2~[[cell]]~name = 'c'~zone = 'z'~hosts = ['127.0.0.1:9']~[before]~"
+                + "plan = 2~cells = ['c']|before.plan: 2 is not before plan 2",
         "fleet = [|:1:"})
     void aPeersFileThatCannotBeUsedEndsTheProgramWithOneLine(String text, String line) throws Exception {
         Path peers = Files.writeString(folder.resolve("peers.toml"), text.replace('~', '\n'));
--- /dev/null
+++ b/src/test/java/firstage/scale/ScaleIT.java
@@ -0,0 +1,57 @@
+package firstage.scale;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** 96 hollow managers and four real ones in four cells: one kill, one change of the list. */
+@Timeout(120)
+class ScaleIT {
+    private static final String RUN = "exec java -Xmx64m -Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=1"
+            + " -jar target/firstage.jar serve";
+    @TempDir
+    private Path folder;
+
+    @Test
+    void hollowAndRealManagersAreOneFleet() throws IOException {
+        Path plan = Path.of("deploy", "scale", "small.toml").toAbsolutePath();
+        Map<String, Double> figures = ScaleRun.play(new ScaleRun.Order(ScalePlan.read(Files.readString(plan)), plan, 1,
+                folder, Path.of("target", "firstage.jar").toAbsolutePath(), RUN, line -> { })).figures();
+        // Each hollow manager's view is whole only with the real one of its cell in it.
+        assertThat(figures).containsEntry("watches", 100.0).containsEntry("one view: by managers", 96.0)
+                .containsEntry("a change of the list: by managers", 96.0).containsEntry("a kill: by managers", 23.0)
+                .containsEntry("steady: fewest cells heard", 4.0).containsEntry("steady: engines held", 215.0);
+        assertThat(figures.get("a kill: last, s")).isLessThan(5);
+        assertThat(figures.get("a change of the list: last, s")).isLessThan(4);
+        assertThat(figures.get("steady: bytes out a s")).isLessThan(4_000);
+        assertThat(figures.get("start: slices in force")).isEqualTo(1);
+        assertThat(figures.get("a real one: datagrams' bytes in all")).isGreaterThan(10_000);
+        assertThat(Files.readAllLines(folder.resolve("seconds.csv")).size()).isGreaterThan(15);
+        assertThat(folder.resolve("bytes.png")).exists();
+    }
+
+    @Test
+    void aPlanThatTheMachineCannotBearIsRefused() throws IOException {
+        String small = Files.readString(Path.of("deploy", "scale", "small.toml"));
+        ScalePlan large = ScalePlan.read(small.replace("hollow = 96", "hollow = 4000").replace("cell = 25",
+                "cell = 0").replace("spread = 2", "spread = 1").replace("real = 4", "real = 0"));
+        assertThatThrownBy(() -> ScaleRun.check(new ScalePlan(large.name(), large.settle(), large.length(),
+                large.zones(), 400_000, 0, 0, 1, 430, 400, large.period(), large.events())))
+                .hasMessageContaining("over half of this machine's");
+        assertThatThrownBy(() -> ScalePlan.read(small.replace("real = 4", "real = 5")))
+                .hasMessageContaining("no whole number of cells of 25; 125 would do");
+        assertThatThrownBy(() -> ScalePlan.read(small.replace("spread = 2", "spread = 3")))
+                .hasMessageContaining("a zone has 2 cells; up to 2 would do");
+        assertThatThrownBy(() -> ScalePlan.read(small.replace("\"kill\"", "\"kil\"")))
+                .hasMessageContaining("'kil' is none of kill, restart, list, zone, mass");
+        assertThatThrownBy(() -> ScalePlan.read(small.replace("at = \"1 s\"", "at = \"9 s\"")))
+                .hasMessageContaining("after the end; under 6 s would do");
+    }
+}
