--- a/src/main/java/firstage/scale/ScalePlan.java
+++ b/src/main/java/firstage/scale/ScalePlan.java
@@ -21,7 +21,7 @@
     public record Event(Kind kind, long at, int line) {
     }
 
-    /** Of hollow managers: one killed; one that leaves and comes back; a zone's and seven in ten killed; of the list. */
+    /** Of hollow managers: one killed; one leaves and comes back; a zone's, seven in ten killed; a word of the list. */
     public enum Kind { KILL, RESTART, LIST, ZONE, MASS }
 
     private static final int MOST_MANAGERS = 4_000;
