--- a/src/main/java/firstage/app/Scale.java
+++ b/src/main/java/firstage/app/Scale.java
@@ -3,6 +3,7 @@
 import firstage.cells.Cells;
 import firstage.fleet.FleetFault;
 import firstage.lab.CellsField.Shape;
+import firstage.scale.ChoiceCost;
 import firstage.scale.Hollow;
 import firstage.scale.ScalePlan;
 import firstage.scale.ScaleRun;
@@ -24,7 +25,7 @@
 
 /** {@code scale}: what control costs a manager of a large fleet. */
 @Command(name = "scale", mixinStandardHelpOptions = true,
-        subcommands = {Scale.Run.class, Scale.OfSizes.class, Scale.Host.class},
+        subcommands = {Scale.Run.class, Scale.OfSizes.class, Scale.Choices.class, Scale.Host.class},
         description = "Starts hollow managers beside real ones, or plays a fleet's control in virtual time, and tells"
                 + " what it costs; docs/operators/scale.md says how to read it.",
         exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:played", "1:void: the machine was too busy",
@@ -181,6 +182,30 @@
         }
     }
 
+    /** {@code scale choices}. */
+    @Command(name = "choices", mixinStandardHelpOptions = true,
+            description = "Tells what the decisions cost a batch by how many engines a manager knows.")
+    static final class Choices implements Callable<Integer> {
+        @Option(names = "--engines", split = ",", defaultValue = "43,264,430,4300", paramLabel = "N",
+                description = "engines known (${DEFAULT-VALUE})")
+        private List<Integer> engines;
+        @Option(names = "--managers", defaultValue = "160", paramLabel = "N",
+                description = "over whom an engine is shared (${DEFAULT-VALUE})")
+        private int managers;
+
+        @Override
+        public Integer call() {
+            for (int n : engines) {
+                if (n < 1 || n > 10_000 || managers < 1 || managers > 10_000) {
+                    throw new FleetFault(0, "--engines " + n + ", --managers " + managers
+                            + ": one is impossible; 1 to 10000 would do");
+                }
+                System.out.println(ChoiceCost.play(n, managers));
+            }
+            return 0;
+        }
+    }
+
     /** {@code scale hollow}: what {@code run} starts. */
     @Command(name = "hollow", hidden = true, description = "Hosts hollow managers; started by scale run.")
     static final class Host implements Callable<Integer> {
--- a/src/main/java/firstage/cells/Cells.java
+++ b/src/main/java/firstage/cells/Cells.java
@@ -14,9 +14,9 @@
  *
  * <p><b>Rows.</b> A cell tells one row of fixed size of itself: a stamp, the least plan that its managers hold, how
  * many are here, what it sheds. Its deputies, the first three by rendezvous over its view, renew it; each of them
- * sends all rows it knows to one manager of one other cell, drawn anew each second. Within a cell rows go on with the messages of
- * the membership, a few in each, the newest first. So what a manager sends and holds is the same whatever the size of
- * the fleet but for the rows themselves, 12 bytes a cell; with many cells rows only get older.
+ * sends all rows it knows to one manager of one other cell, drawn anew each second. Within a cell rows go on with
+ * the messages of the membership, a few in each, the newest first. So what a manager sends and holds is the same
+ * whatever the size of the fleet but for the rows themselves, 12 bytes a cell; with many cells rows only get older.
  *
  * <p><b>Engines.</b> A manager holds one plan for its whole life, and the one before it while it is being replaced. Of
  * an engine that both give to its cell it uses its part; of one that only the old plan gives, nothing; one that only
--- /dev/null
+++ b/src/main/java/firstage/scale/ChoiceCost.java
@@ -0,0 +1,143 @@
+package firstage.scale;
+
+import firstage.Brain;
+import firstage.door.Arrival;
+import firstage.door.Deployment;
+import firstage.door.Ending;
+import firstage.door.EngineList;
+import firstage.door.EngineList.Entry;
+import firstage.door.EngineList.Standing;
+import firstage.door.Host;
+import firstage.door.Outcome;
+import firstage.door.ServiceGroup;
+import firstage.door.ServiceGroup.Effect;
+import firstage.door.ServiceGroup.Scope;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What the decisions cost a batch in processor time by how many engines a manager knows: the real ones, all news by
+ * calls, engines that return each batch after its work. Measured by this machine's clock, one thread.
+ */
+public final class ChoiceCost implements Host {
+    private static final long SECOND = 10_000;
+    /** By the size of two years on: 462 batches a second at one manager. */
+    private static final long BETWEEN = SECOND / 462;
+    private static final long WORK = 2_000;
+    private static final int WARM = 6_000;
+    private static final int MEASURED = 6_000;
+    private static final int CORES = 8;
+    private static final double MEMORY_MB = 16_000;
+    private final Brain brain;
+    private final ArrayDeque<long[]> running = new ArrayDeque<>();
+    private long now = 100 * SECOND;
+    private int dispatched;
+    private int pushedBack;
+
+    private ChoiceCost(int engines, int managers) {
+        ServiceGroup lookup = new ServiceGroup(SECOND, 2, 5 * SECOND, 1, 0, Effect.REPEATABLE, Scope.ALL, 6 * SECOND,
+                false, 1, false, true, Set.of(), Set.of());
+        brain = new Brain(new Deployment(7, managers, 0, 0, List.of(lookup), List.of(new Deployment.Machine(CORES,
+                MEMORY_MB)), List.of(), new Deployment.Allowed(false, false, true, true, true, 4, 2 * SECOND),
+                new Deployment.Rules(0.3, 10 * SECOND, 2, 2 * SECOND, 0, -1, 1, 10 * SECOND), 0.5, SECOND / 2, false,
+                false, -1, false, false), this);
+        List<Entry> entries = new ArrayList<>();
+        for (int e = 0; e < engines; e++) {
+            entries.add(new Entry(e, e + 1L, 0, 0, e, Standing.ACTIVE, 1, 0));
+        }
+        brain.listed(now, new EngineList(EngineList.Kind.REMEMBERED, entries));
+        brain.turn(now);
+    }
+
+    private void batch(int number) {
+        now += BETWEEN;
+        while (!running.isEmpty() && running.peek()[0] <= now) {
+            long[] over = running.poll();
+            brain.ended(now, new Ending((int) over[1], 0, (int) over[2], Outcome.RETURNED, WORK, 0, 0, true, null, 0));
+            brain.turn(now);
+        }
+        brain.taken(now, new Arrival(number, 0, -1, -1, now + 5 * SECOND, WORK, 100, number % 20, false, false));
+        brain.turn(now);
+    }
+
+    /** Microseconds a batch, and the shares dispatched and pushed back; by name. */
+    public static Map<String, Double> play(int engines, int managers) {
+        ChoiceCost c = new ChoiceCost(engines, managers);
+        for (int b = 0; b < WARM; b++) {
+            c.batch(b);
+        }
+        c.dispatched = 0;
+        c.pushedBack = 0;
+        long from = System.nanoTime();
+        for (int b = WARM; b < WARM + MEASURED; b++) {
+            c.batch(b);
+        }
+        Map<String, Double> row = new LinkedHashMap<>();
+        row.put("engines", (double) engines);
+        row.put("managers", (double) managers);
+        row.put("us a batch", (System.nanoTime() - from) / 1e3 / MEASURED);
+        row.put("dispatches a batch", (double) c.dispatched / MEASURED);
+        row.put("pushed back a batch", (double) c.pushedBack / MEASURED);
+        return row;
+    }
+
+    @Override
+    public void provide(int batch, int grantMb, int priority) {
+        // Its engine runs it with whatever it is granted.
+    }
+
+    @Override
+    public void dispatch(int batch, int engine, long within) {
+        dispatched++;
+        running.add(new long[] {now + WORK, batch, engine});
+    }
+
+    @Override
+    public void callOff(int batch, int dispatch) {
+        // It may not.
+    }
+
+    @Override
+    public void pushBack(int batch, long comeBack) {
+        pushedBack++;
+    }
+
+    @Override
+    public void error(int batch) {
+        pushedBack++;
+    }
+
+    @Override
+    public void forgetBatch(int batch) {
+        // Numbers are not used again.
+    }
+
+    @Override
+    public void forgetKey(int key) {
+        // There are none.
+    }
+
+    @Override
+    public void forgetEngine(int engine) {
+        // None leaves.
+    }
+
+    @Override
+    public void probe(int engine) {
+        // It may not.
+    }
+
+    @Override
+    public void wakeIn(long delay, long token) {
+        // Each batch is news enough.
+    }
+
+    @Override
+    public void log(String line) {
+        // Nobody reads it.
+    }
+}
