--- a/src/main/java/firstage/app/Serve.java
+++ b/src/main/java/firstage/app/Serve.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import firstage.net.Assignment;
 import firstage.net.Node;
+import firstage.net.members.PeerList;
 import firstage.setup.MalformedLine;
 import java.io.FileNotFoundException;
 import java.io.IOException;
@@ -38,6 +39,9 @@
 
     /** Calls that came before there was a manager to tell, or while one was read. */
     private final Semaphore hangUps = new Semaphore(0);
+    /** Asked to end before it served: nothing was taken, nothing is owed. */
+    private volatile boolean ending;
+    private volatile boolean serves;
     private final Path file;
     /** Null where none are named: then nothing of them is read or loaded. */
     private final Path peers;
@@ -63,12 +67,30 @@
         // By itself a JVM ends on SIGHUP; one that ignores it once can't be told to listen again.
         boolean deaf = Signal.handle(new Signal("HUP"), signal -> hangUps.release()) == SignalHandler.SIG_IGN;
         Assignment told = read();
-        Node node = new Node(told, peers == null ? null : PeersFile.read(peers, told.name()));
-        Signal.handle(new Signal("TERM"), signal -> node.close());
+        PeerList list = peers == null ? null : PeersFile.read(peers, told.name());
+        if (list != null) {
+            PeersFile.hold(list);
+        }
+        Node node = new Node(told, list);
+        Signal.handle(new Signal("TERM"), signal -> {
+            ending = true;
+            if (serves) {
+                node.close();
+            }
+        });
         patiently(ADDRESS_PATIENCE_MS, () -> {
+            if (ending) {
+                // The harm prevented: the end needs a listener, and there is none; the program would never end.
+                LOG.info("asked to end before it served");
+                System.exit(0);
+            }
             node.start();
             return null;
         });
+        serves = true;
+        if (ending) {
+            node.close();
+        }
         Thread reader = new Thread(() -> readAnew(node, told), "configuration");
         reader.setDaemon(true);
         reader.start();
