A client that gives up hears of it on the call that it holds

Change: where a call is held when its client gives up, it is answered errored at once; it may have run. New story in ServeIT.

--- a/src/main/java/firstage/app/Scale.java
+++ b/src/main/java/firstage/app/Scale.java
@@ -154,6 +154,9 @@
         private boolean deep;
         @Option(names = "--bare", description = "the membership alone, without the words of the rooms above")
         private boolean bare;
+        @Option(names = "--region", paramLabel = "MIN",
+                description = "plays two regions that lose each other for so many minutes, and nothing else")
+        private Integer region;
         @Option(names = "--out", paramLabel = "DIR", description = "slopes.csv goes there")
         private Path out;
 
@@ -165,7 +168,12 @@
                     throw new FleetFault(0, "--sizes: " + size + " is impossible; up to 4000, whole cells of " + cell
                             + ", would do");
                 }
-                rows.add(Slopes.play(new Shape(size, cell, zones, 1, !bare, 200, Cells.Fault.NONE), seed, deep));
+                if (region != null && (region < 1 || region > 1_440)) {
+                    throw new FleetFault(0, "--region " + region + " is impossible; 1 to 1440 minutes would do");
+                }
+                rows.add(region != null ? Slopes.region(new Shape(size, cell, zones, 1, !bare, 400, Cells.Fault.NONE),
+                        seed, region * 600_000L)
+                        : Slopes.play(new Shape(size, cell, zones, 1, !bare, 200, Cells.Fault.NONE), seed, deep));
                 System.out.println("simulated, " + size + " managers");
                 rows.get(rows.size() - 1).forEach((n, v) -> System.out.printf(Locale.ROOT, "  %-56s %12.3f%n", n, v));
             }
--- a/src/main/java/firstage/cells/Cells.java
+++ b/src/main/java/firstage/cells/Cells.java
@@ -34,7 +34,7 @@
     private static final long LEAST_BETWEEN = 5_000; // two renewals: a view that changes often is no flood
     private static final long LOOK_EVERY = 5_000; // at what has grown old
     private static final int ROWS_A_MESSAGE = 6; // 72 bytes on each message of the membership
-    private static final int TELLINGS = 4; // of a newer row by each manager: one of fifty hears of the next one only
+    private static final int TELLINGS = 3; // of a newer row by each manager: one of twenty hears of the next one only
     private static final int MOST = 1_200; // bytes of a datagram: under the least MTU of IPv6 with its heads
     private static final int HEAD = 1 + 3 * Integer.BYTES; // version, fleet, plan's number and mark
     private static final int ROW = Short.BYTES + 2 * Integer.BYTES + 2; // cell, stamp, plan, here, cut
--- a/src/main/java/firstage/lab/LabManager.java
+++ b/src/main/java/firstage/lab/LabManager.java
@@ -251,6 +251,12 @@
             held = 0;
         }
 
+        @Override
+        public void failHeld() {
+            // Its client gave up: what is said to it yet is no answer that it waits for.
+            held = 0;
+        }
+
         @Override
         public void away() {
             tellAway(true);
--- a/src/main/java/firstage/life/CallLife.java
+++ b/src/main/java/firstage/life/CallLife.java
@@ -40,6 +40,9 @@
         /** Ends the connections of all calls that are held. */
         void closeHeld();
 
+        /** Answers all calls that are held: errored, for it is given up and may have run. */
+        void failHeld();
+
         /** Nobody asks at the path, and nobody may any more: it is not to be sent on. */
         void away();
 
@@ -57,7 +60,7 @@
 
     private enum Event { DUE, ASKED, ANSWER, FIRST_BROKE, LAST_BROKE, GAVE_UP }
 
-    private enum Effect { GIVE_PATH, GIVE, ARM_SHORT, ARM_REST, ARM, DISARM, CLOSE, AWAY, BACK, LEFT, FORGET }
+    private enum Effect { GIVE_PATH, GIVE, ARM_SHORT, ARM_REST, ARM, DISARM, CLOSE, FAIL, AWAY, BACK, LEFT, FORGET }
 
     private record Row(State next, List<Effect> effects) {
     }
@@ -88,7 +91,9 @@
         // Which of two calls is the later one can't be told by when they come in: both are held, and both answered.
         row(State.HELD, Event.ANSWER, State.GIVEN, Effect.GIVE, Effect.ARM);
         row(State.HELD, Event.LAST_BROKE, State.AWAY, Effect.ARM, Effect.AWAY);
-        row(State.HELD, Event.GAVE_UP, State.OVER, Effect.CLOSE, Effect.FORGET, Effect.LEFT);
+        // The harm prevented: a client's time may be up before ours says so, as it counts from before it sent; its held
+        // call would end with no answer at all, and that is a batch lost.
+        row(State.HELD, Event.GAVE_UP, State.OVER, Effect.FAIL, Effect.FORGET, Effect.LEFT);
         row(State.ANSWERED, Event.ASKED, State.GIVEN, Effect.GIVE, Effect.ARM);
         row(State.ANSWERED, Event.DUE, State.OVER, Effect.FORGET);
         row(State.ANSWERED, Event.GAVE_UP, State.OVER, Effect.DISARM, Effect.FORGET);
@@ -159,6 +164,7 @@
                 case ARM -> carrier.arm(AGAIN);
                 case DISARM -> carrier.disarm();
                 case CLOSE -> carrier.closeHeld();
+                case FAIL -> carrier.failHeld();
                 case AWAY -> carrier.away();
                 case BACK -> carrier.back();
                 case LEFT -> carrier.left();
--- a/src/main/java/firstage/net/clients/PendingCall.java
+++ b/src/main/java/firstage/net/clients/PendingCall.java
@@ -180,6 +180,16 @@
         List.copyOf(held).forEach(Held::close);
     }
 
+    @Override
+    public void failHeld() {
+        for (Held call : List.copyOf(held)) {
+            HttpServerExchange x = call.release();
+            x.setStatusCode(500);
+            x.setPersistent(false);
+            door.send(x, ByteBuffer.wrap(FAILED));
+        }
+    }
+
     @Override
     public void away() {
         door.counters.count("clients away");
--- a/src/main/java/firstage/scale/Slopes.java
+++ b/src/main/java/firstage/scale/Slopes.java
@@ -1,5 +1,6 @@
 package firstage.scale;
 
+import firstage.cells.Cells;
 import firstage.lab.CellsField;
 import firstage.lab.CellsField.Kind;
 import firstage.lab.CellsField.Place;
@@ -181,6 +182,45 @@
         row.put("seven in ten restarted: all slices in force after, s", inForce / 1e4);
     }
 
+    /** Two regions lose each other for so long, and meet again: every other zone is of the one. */
+    public static Map<String, Double> region(Shape shape, long seed, long length) {
+        Map<String, Double> row = new LinkedHashMap<>();
+        row.put("managers", (double) shape.managers());
+        CellsField f = new CellsField(shape, seed);
+        f.start(START);
+        f.pass(40 * SECOND);
+        double usual = rate(f, 20) / shape.managers();
+        f.cut(p -> f.places().get(p).cell() % 2 == 0, true);
+        double least = 1;
+        for (long t = 0; t < length; t += 10 * SECOND) {
+            f.pass(10 * SECOND);
+            least = Math.min(least, f.inForce());
+        }
+        row.put("cut, min", length / 6e5);
+        row.put("bytes a s before", usual);
+        row.put("bytes a s while cut", rate(f, 20) / shape.managers());
+        row.put("least slices in force while cut", least);
+        f.cut(p -> false, false);
+        double worst = 0;
+        long heard = -1;
+        for (int s = 1; s <= 60; s++) {
+            worst = Math.max(worst, rate(f, 1) / shape.managers());
+            boolean all = f.places().stream().allMatch(p -> p.cells() == null || p.cells().known(f.calendar().now())
+                    .stream().allMatch(k -> k.standing() == Cells.Standing.HEARD));
+            heard = heard < 0 && all ? s : heard;
+        }
+        row.put("worst second after, bytes", worst);
+        row.put("all cells heard by all after, s", (double) heard);
+        row.put("cells of one view after, part", (double) f.agreed() / shape.cells());
+        return row;
+    }
+
+    private static double rate(CellsField f, int seconds) {
+        long before = f.bytes().values().stream().mapToLong(b -> b).sum();
+        f.pass(seconds * SECOND);
+        return (f.bytes().values().stream().mapToLong(b -> b).sum() - before) / (double) seconds;
+    }
+
     /** The slope of a figure against the managers, a thousand of them, and its standard error. */
     public static double[] slope(List<Map<String, Double>> rows, String figure) {
         SimpleRegression fit = new SimpleRegression();
--- a/src/test/java/firstage/net/ServeIT.java
+++ b/src/test/java/firstage/net/ServeIT.java
@@ -174,6 +174,23 @@
         assertThat(one.next("DELETE").what).endsWith(job(2));
     }
 
+    /** A client whose time is up gives up at the path: the call that it holds open must not end without a word. */
+    @Test
+    void aClientThatGivesUpHearsOfItOnTheCallThatIsHeld() throws Exception {
+        one.script = seen -> seen.what.startsWith("DELETE") ? "HTTP/1.1 204 No Content\r\n\r\n" : NOTHING_NEW;
+        try (Client c = new Client(); Client other = new Client()) {
+            String path = c.post("report", "", "SELECT 1", 9000).poll();
+            c.write("GET " + path, "", "");
+            Thread.sleep(50);
+            assertThat(other.call("DELETE " + path, "", "").status).isEqualTo(204);
+            Message last = c.read();
+            assertThat(last.status).isEqualTo(500);
+            assertThat(last.body).contains("\"err\":\"Failed\"");
+            assertThat(other.call("GET " + path, "", "").status).isEqualTo(404);
+        }
+        assertThat(one.next("DELETE").what).endsWith(job(1));
+    }
+
     @Test
     void aOnceOnlyBatchThatMayHaveRunIsNeverSentTwice() throws Exception {
         one.script = seen -> RESET;
