--- a/src/main/java/firstage/scale/HollowManager.java
+++ b/src/main/java/firstage/scale/HollowManager.java
@@ -84,6 +84,7 @@
     private int reading;
     private long lookAt;
     private boolean retries;
+    private long startedMs;
     long tickAt;
     final long[] bytesOut = new long[Message.Kind.values().length + 1];
     long datagramsOut;
@@ -150,6 +151,7 @@
             leases.kept();
         }, Leases.Fault.NONE);
         long started = System.currentTimeMillis();
+        startedMs = started;
         int zone = plan.zones().indexOf(plan.zoneOf(number));
         together = new Together(name(), zone, plan.zones().size(), GOAL, WARM, plan.period(), new Zones.Effects() {
             @Override
@@ -270,7 +272,10 @@
         for (int record = 0; record + RECORD <= payload.remaining(); record += RECORD) {
             took(List.of(new Listed(payload.getInt(record) & 0xFFFFFFFFL,
                     plan.zones().get(payload.get(record + ZONE_AT)))));
-            witness.listed(this, payload.getLong(record + STARTED_AT));
+            // What was told before this life began comes with its start, and says nothing of how soon news comes.
+            if (payload.getLong(record + STARTED_AT) >= startedMs) {
+                witness.listed(this, payload.getLong(record + STARTED_AT));
+            }
         }
     }
 
