--- a/src/main/java/firstage/scale/ScaleRun.java
+++ b/src/main/java/firstage/scale/ScaleRun.java
@@ -46,6 +46,9 @@
     private static final int BACK_MS = 3_000;
     private static final int AWAY_MS = 2_000;
     private static final double PERCENT = 99;
+    private static final Map<String, List<String>> OF_PHASE = Map.of("kill", List.of("a kill"), "restart",
+            List.of("a leave", "a return"), "list", List.of("a change of the list"), "zone", List.of("a dead cell"),
+            "mass", List.of("whole after", "events: worst"));
     private static final Pattern DATAGRAMS = Pattern.compile("datagrams' bytes out=(\\d+)");
 
     /** What is to be played; {@code run}: of the deploy file; {@code file}: of the plan in force. */
@@ -66,6 +69,8 @@
     private final Managers real;
     private final List<HollowProcess> hollow = new ArrayList<>();
     private final Map<String, Double> figures = new LinkedHashMap<>();
+    /** What was going on from which second on, in order: each proves nothing where its managers came late. */
+    private final Map<String, Integer> phases = new LinkedHashMap<>();
     private final Random chance;
     private final Thread hook = new Thread(() -> hollow.forEach(HollowProcess::close), "end of the scale run");
 
@@ -122,6 +127,7 @@
         startReal();
         long go = System.currentTimeMillis();
         all("go " + go);
+        phases.put("start", fewestLines());
         long settled = go + plan.settle() / 10;
         while (System.currentTimeMillis() < settled) {
             rest();
@@ -133,19 +139,38 @@
         figure("start: whole views, part of managers", sum("whole views") / Math.max(1, sum("up")));
         figure("start: slices in force", sum("in force") / Math.max(1, sum("up")));
         figure("start: worst second, bytes a manager", worstSecond("bytes out", 0));
-        figure("start: latest 99th, ms", late(0));
         figure("watches", watches.open());
-        int from = fewestLines();
+        phases.put("steady", fewestLines());
         steady();
         int mark = fewestLines();
         events();
         for (int s = 0; s < AFTER_S; s++) {
             rest();
         }
-        conclude(from, mark);
-        return new Result(figures, figures.get("late 99th, ms") > VOID_99TH_MS ? String.format(Locale.ROOT,
-                "hollow managers came %.0f ms late (99th); the machine is too small or too busy",
-                figures.get("late 99th, ms")) : null);
+        conclude(mark);
+        return new Result(figures, judge());
+    }
+
+    /** What came late proves nothing: its figures say so. */
+    private String judge() {
+        List<String> late = new ArrayList<>();
+        List<Map.Entry<String, Integer>> all = new ArrayList<>(phases.entrySet());
+        for (int i = 0; i < all.size(); i++) {
+            String phase = all.get(i).getKey();
+            double ms = late(all.get(i).getValue(), i + 1 < all.size() ? all.get(i + 1).getValue() : fewestLines());
+            figure("late in " + phase + ", 99th, ms", ms);
+            if (ms > VOID_99TH_MS) {
+                late.add(String.format(Locale.ROOT, "%s (%.0f ms)", phase, ms));
+                List<String> of = OF_PHASE.getOrDefault(phase.replaceAll(" \\d+$", ""), List.of(phase + ":"));
+                for (String name : List.copyOf(figures.keySet())) {
+                    if (of.stream().anyMatch(name::startsWith)) {
+                        figures.put("(void) " + name, figures.remove(name));
+                    }
+                }
+            }
+        }
+        return late.isEmpty() ? null : "hollow managers came late (99th) in " + String.join(", ", late)
+                + "; the machine is too small or too busy for that";
     }
 
     // ---- Starting.
@@ -348,7 +373,8 @@
         for (ScalePlan.Event e : events) {
             rest(begin + e.at() / 10 - System.currentTimeMillis());
             order.progress.accept(e.kind().name().toLowerCase(Locale.ROOT));
-            strike(e.kind(), ++number);
+            phases.put(e.kind().name().toLowerCase(Locale.ROOT) + " " + ++number, fewestLines());
+            strike(e.kind(), number);
         }
         rest(begin + plan.length() / 10 - System.currentTimeMillis());
     }
@@ -432,16 +458,13 @@
         return worst;
     }
 
-    private double late(int from) {
-        return hollow.stream().flatMap(h -> h.lines().stream().skip(from)).mapToDouble(l ->
-                l.figure("late 99th tenths") / 10).max().orElse(0);
+    private double late(int from, int to) {
+        return hollow.stream().flatMap(h -> h.lines().stream().skip(from).limit(Math.max(1, to - from))).mapToDouble(
+                l -> l.figure("late 99th tenths") / 10).max().orElse(0);
     }
 
-    private void conclude(int from, int mark) throws IOException {
+    private void conclude(int mark) throws IOException {
         figure("events: worst second, bytes a manager", worstSecond("bytes out", mark));
-        figure("late 99th, ms", late(from));
-        figure("late most, ms", hollow.stream().flatMap(h -> h.lines().stream().skip(from)).mapToDouble(l ->
-                l.figure("late most tenths") / 10).max().orElse(0));
         Map<String, DescriptiveStatistics> reached = new LinkedHashMap<>();
         hollow.forEach(h -> h.lines().forEach(l -> l.reached().forEach((label, all) -> all.forEach(ms ->
                 reached.computeIfAbsent(label.replace('_', ' '), k -> new DescriptiveStatistics()).addValue(ms)))));
