--- a/src/main/java/firstage/scale/ScaleRun.java
+++ b/src/main/java/firstage/scale/ScaleRun.java
@@ -15,6 +15,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -25,6 +27,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.apache.commons.math3.stat.descriptive.DescriptiveStatistics;
 
 /** One run: hollow processes, real managers and the coordinator started, the plan's events played, figures taken. */
@@ -255,21 +258,9 @@
             out.writeEndObject();
             out.writeEndArray();
             out.writeEndObject();
-            out.writeObjectFieldStart("settings");
-            out.writeEndObject();
-            out.writeEndObject();
-        }
-        // The settings by the one writer that the yard has.
-        java.io.StringWriter settings = new java.io.StringWriter();
-        try (JsonGenerator out = new JsonFactory().createGenerator(settings)) {
-            out.writeStartObject();
             Wiring.settings(out, like, m, plan.zones().indexOf(plan.zoneOf(m)));
             out.writeEndObject();
         }
-        Path file = Managers.config(order.folder, number);
-        String inner = settings.toString();
-        Files.writeString(file, Files.readString(file).replace("\"settings\":{}",
-                inner.substring(1, inner.length() - 1)));
     }
 
     private List<String> peers(int m) {
@@ -343,8 +334,8 @@
         for (int r = 0; r < plan.real(); r++) {
             cpu[r] = (cpuMs(r) - cpu[r]) / took;
         }
-        figure("steady: processor of a real one, ms a s", java.util.Arrays.stream(cpu).average().orElse(0));
-        figure("steady: resident MB of a real one", java.util.stream.IntStream.range(0, plan.real())
+        figure("steady: processor of a real one, ms a s", Arrays.stream(cpu).average().orElse(0));
+        figure("steady: resident MB of a real one", IntStream.range(0, plan.real())
                 .mapToDouble(this::residentMb).average().orElse(0));
         figure("steady: engines held", sum("engines held") / up);
         figure("steady: fewest cells heard", hollow.stream().mapToDouble(h -> h.last().figure("fewest cells heard"))
@@ -367,7 +358,7 @@
 
     private void events() {
         long begin = System.currentTimeMillis();
-        List<ScalePlan.Event> events = plan.events().stream().sorted(java.util.Comparator.comparingLong(
+        List<ScalePlan.Event> events = plan.events().stream().sorted(Comparator.comparingLong(
                 ScalePlan.Event::at)).toList();
         int number = 0;
         for (ScalePlan.Event e : events) {
--- a/src/main/java/firstage/scale/Slopes.java
+++ b/src/main/java/firstage/scale/Slopes.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Random;
 import org.apache.commons.math3.stat.descriptive.DescriptiveStatistics;
 import org.apache.commons.math3.stat.regression.SimpleRegression;
 
@@ -155,7 +156,7 @@
 
     private static void massRestart(CellsField f, Shape shape, Map<String, Double> row) {
         List<Place> all = new ArrayList<>(f.places());
-        Collections.shuffle(all, new java.util.Random(f.chance().nextLong()));
+        Collections.shuffle(all, new Random(f.chance().nextLong()));
         List<Place> killed = all.subList(0, (int) (all.size() * RESTARTED)).stream().filter(Place::up).toList();
         killed.forEach(Place::kill);
         for (Place p : killed) {
--- a/src/main/java/firstage/scale/Watches.java
+++ b/src/main/java/firstage/scale/Watches.java
@@ -1,6 +1,7 @@
 package firstage.scale;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
@@ -90,7 +91,7 @@
                 }
             }
         } catch (IOException fault) {
-            throw new java.io.UncheckedIOException(fault);
+            throw new UncheckedIOException(fault);
         }
     }
 
--- a/src/test/java/firstage/cells/CellsFieldTest.java
+++ b/src/test/java/firstage/cells/CellsFieldTest.java
@@ -9,8 +9,11 @@
 import firstage.lab.CellsField.Place;
 import firstage.lab.CellsField.Shape;
 import firstage.overload.Rendezvous;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Random;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -137,8 +140,8 @@
             // Six cells; the one before the last goes, so its engines are taken over.
             CellPlan next = new CellPlan(2, 2, CellsField.plan(2, 2, 6, 2, 4).cells().stream().map(c ->
                     new CellPlan.Cell(c.name(), c.zone(), c.slots(), !c.name().equals("c4"))).toList());
-            List<Place> order = new java.util.ArrayList<>(f.places());
-            java.util.Collections.shuffle(order, new java.util.Random(seed));
+            List<Place> order = new ArrayList<>(f.places());
+            Collections.shuffle(order, new Random(seed));
             for (Place p : order) {
                 f.cut(q -> q % 7 == 3, f.chance().nextInt(4) == 0);
                 p.kill();
--- a/src/test/java/firstage/cells/CellsTest.java
+++ b/src/test/java/firstage/cells/CellsTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Random;
 import java.util.random.RandomGeneratorFactory;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
@@ -227,7 +228,7 @@
             a.received(g.now, Arrays.copyOf(good, length));
             a.digested(g.now, 1, Arrays.copyOf(good, length));
         }
-        java.util.Random chance = new java.util.Random(5);
+        Random chance = new Random(5);
         for (int i = 0; i < 5_000; i++) {
             byte[] bad = good.clone();
             bad[chance.nextInt(13)] ^= (byte) (1 << chance.nextInt(8));
