--- a/src/test/java/firstage/net/ServeIT.java
+++ b/src/test/java/firstage/net/ServeIT.java
@@ -545,6 +545,36 @@
         }
     }
 
+    /** The system holds the limit, too: without a reserve neither the list nor an engine could be reached again. */
+    @Test
+    void idleClientsThatFillTheDescriptorsKeepNeitherTheListNorEnginesOut() throws Exception {
+        program.destroyForcibly().waitFor();
+        program = launchAt(Files.writeString(Files.createTempFile(folder, "config", ".json"),
+                config().replace("\"sockets\":1024", "\"sockets\":120")),
+                "sh", "-c", "ulimit -n 120 && exec \"$@\"", "sh");
+        awaitAlive();
+        List<Client> idle = new ArrayList<>();
+        for (int i = 0; i < 90; i++) {
+            Client c = new Client();
+            idle.add(c);
+            if (i % 2 == 0) {
+                assertThat(c.call("GET /alive", "", "").status).isEqualTo(200);
+            }
+        }
+        coordinator.breakOff();
+        StandInEngine two = new StandInEngine();
+        coordinator.tell(2, record(2, two.port(), 0));
+        coordinator.tell(3, record(1, one.port(), 1));
+        awaitLog("event 3");
+        try (Client c = new Client()) {
+            assertThat(c.follow(c.post("lookup", "", "SELECT 1", 2000)).status).isEqualTo(200);
+        }
+        assertThat(two.next("POST /x").headers).containsEntry("x-ticket", job(1));
+        for (Client c : idle) {
+            c.close();
+        }
+    }
+
     @Test
     void afterSigtermAllThatWasTakenIsAnsweredAndTheProgramEndsWithZero() throws Exception {
         one.script = seen -> NOTHING_NEW;
