One rule for who serves an engine, one way to answer held calls, notes of cells told as such

Read once more: CellPlan said twice which cells serve an engine (a sort and a count), Peers told two rooms' notes apart by their words, PendingCall answered held calls in two loops.

--- a/src/main/java/firstage/cells/CellPlan.java
+++ b/src/main/java/firstage/cells/CellPlan.java
@@ -1,8 +1,6 @@
 package firstage.cells;
 
 import firstage.overload.Rendezvous;
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.stream.IntStream;
 import net.openhft.hashing.LongHashFunction;
@@ -39,19 +37,10 @@
 
     /** The cells that serve an engine, by place; none where its zone has none. */
     public List<Integer> serving(long engine, String zone) {
-        List<Integer> all = new ArrayList<>();
-        for (int c = 0; c < cells.size(); c++) {
-            if (cells.get(c).serves && cells.get(c).zone.equals(zone)) {
-                all.add(c);
-            }
-        }
-        all.sort(Comparator.comparing((Integer c) -> cells.get(c),
-                (a, b) -> Long.compareUnsigned(Rendezvous.rank(engine, b.name), Rendezvous.rank(engine, a.name)))
-                .thenComparing(c -> cells.get(c).name));
-        return all.subList(0, Math.min(spread, all.size()));
+        return IntStream.range(0, cells.size()).filter(c -> serves(c, engine, zone)).boxed().toList();
     }
 
-    /** Whether this cell is among those that serve the engine; looks at each cell of the zone once and sorts none. */
+    /** Whether this cell is among those that serve the engine: fewer than the spread of its zone come before it. */
     public boolean serves(int cell, long engine, String zone) {
         Cell mine = cells.get(cell);
         if (!mine.serves || !mine.zone.equals(zone)) {
--- a/src/main/java/firstage/cells/Cells.java
+++ b/src/main/java/firstage/cells/Cells.java
@@ -51,7 +51,7 @@
         void freed(long now);
 
         /** A line for the log: what, of which cell, and why. */
-        void note(long now, String what, String cell, String why);
+        void noteOfCell(long now, String what, String cell, String why);
 
         /** What this manager sheds: the level's band, 0 for nothing. */
         int cut();
@@ -297,7 +297,7 @@
         if (least > r.plan) {
             r.plan = least;
             if (before != null && least >= plan.number()) {
-                effects.note(now, "follows", plan.cells().get(cell).name(), "all of it hold plan " + plan.number());
+                effects.noteOfCell(now, "follows", plan.cells().get(cell).name(), "all of it hold plan " + plan.number());
                 effects.freed(now);
             }
         } else if (fault == Fault.OLDER_ROW_WINS) {
@@ -313,9 +313,9 @@
                 String of = plan.cells().get(cell).name();
                 switch (rule.effect) {
                     case NONE -> { }
-                    case MET -> effects.note(now, "met", of, r.here + " of it are here");
-                    case LOST -> effects.note(now, "silent", of, "no row for " + SILENT_AFTER / TELL_EVERY + " s");
-                    case BACK -> effects.note(now, "heard again", of, r.here + " of it are here");
+                    case MET -> effects.noteOfCell(now, "met", of, r.here + " of it are here");
+                    case LOST -> effects.noteOfCell(now, "silent", of, "no row for " + SILENT_AFTER / TELL_EVERY + " s");
+                    case BACK -> effects.noteOfCell(now, "heard again", of, r.here + " of it are here");
                 }
                 return;
             }
@@ -414,7 +414,7 @@
             refuse("another plan of this number");
             if (!noted) {
                 noted = true;
-                effects.note(now, "differs", plan.cells().get(mine).name(), "two plans have the number " + number
+                effects.noteOfCell(now, "differs", plan.cells().get(mine).name(), "two plans have the number " + number
                         + "; give the later one a higher number");
             }
             return -1;
--- a/src/main/java/firstage/lab/CellsField.java
+++ b/src/main/java/firstage/lab/CellsField.java
@@ -240,6 +240,11 @@
             // Told to nobody: what is wanted of it is asked for.
         }
 
+        @Override
+        public void noteOfCell(long now, String what, String cell, String why) {
+            // The same.
+        }
+
         @Override
         public byte[] digest(long now) {
             byte[] rest = together == null ? new byte[0] : together.digest(now);
--- a/src/main/java/firstage/net/clients/PendingCall.java
+++ b/src/main/java/firstage/net/clients/PendingCall.java
@@ -150,14 +150,18 @@
             given = true;
             door.given(this);
         }
+        answerHeld(answer, !door.closing());
+    }
+
+    private void answerHeld(Answer with, boolean goesOn) {
         for (Held call : List.copyOf(held)) {
             HttpServerExchange x = call.release();
-            if (answer.comeBack() > 0) {
-                x.getResponseHeaders().put(WAIT, answer.comeBack() / 10);
+            if (with.comeBack() > 0) {
+                x.getResponseHeaders().put(WAIT, with.comeBack() / 10);
             }
-            x.setStatusCode(answer.status());
-            x.setPersistent(x.isPersistent() && !door.closing());
-            door.send(x, answer.body().duplicate());
+            x.setStatusCode(with.status());
+            x.setPersistent(x.isPersistent() && goesOn);
+            door.send(x, with.body().duplicate());
         }
     }
 
@@ -182,12 +186,7 @@
 
     @Override
     public void failHeld() {
-        for (Held call : List.copyOf(held)) {
-            HttpServerExchange x = call.release();
-            x.setStatusCode(500);
-            x.setPersistent(false);
-            door.send(x, ByteBuffer.wrap(FAILED));
-        }
+        answerHeld(new Answer(500, 0, ByteBuffer.wrap(FAILED)), false);
     }
 
     @Override
--- a/src/main/java/firstage/net/members/Peers.java
+++ b/src/main/java/firstage/net/members/Peers.java
@@ -66,7 +66,6 @@
     private static final int MOST_A_LOOK = 64;
     /** Cells that an answer names in each of its lists. */
     private static final int MOST_NAMED = 8;
-    private static final Set<String> CELL_NOTES = Set.of("met", "silent", "heard again", "follows", "differs");
     private final PeerList list;
     private final Clock clock;
     private final Counters counters;
@@ -390,9 +389,12 @@
 
     @Override
     public void note(long now, String what, String who, String why) {
-        // Notes of cells and of members differ by what they say; names may be alike.
-        LOG.info(() -> (CELL_NOTES.contains(what) ? "cell" : "member") + " {\"is\":\"" + what + "\",\"name\":\"" + who
-                + "\",\"why\":\"" + why + "\"}");
+        LOG.info(() -> "member {\"is\":\"" + what + "\",\"name\":\"" + who + "\",\"why\":\"" + why + "\"}");
+    }
+
+    @Override
+    public void noteOfCell(long now, String what, String cell, String why) {
+        LOG.info(() -> "cell {\"is\":\"" + what + "\",\"name\":\"" + cell + "\",\"why\":\"" + why + "\"}");
     }
 
     @Override
--- a/src/main/java/firstage/scale/HollowManager.java
+++ b/src/main/java/firstage/scale/HollowManager.java
@@ -332,6 +332,11 @@
 
     @Override
     public void note(long now, String what, String who, String why) {
+        // Its views say what is asked of it.
+    }
+
+    @Override
+    public void noteOfCell(long now, String what, String who, String why) {
         if (what.equals("silent") || what.equals("heard again")) {
             witness.noted(this, what, who);
         }
--- a/src/test/java/firstage/cells/CellsTest.java
+++ b/src/test/java/firstage/cells/CellsTest.java
@@ -61,7 +61,7 @@
         }
 
         @Override
-        public void note(long now, String what, String of, String why) {
+        public void noteOfCell(long now, String what, String of, String why) {
             // Not looked at.
         }
 
