One writer of a manager's configuration, one way that tools start managers; twins in tests joined; dead parts out

Read once more (duplicates): ScaleRun, CellsIT and the yard's Wiring each wrote a manager's configuration; Scale and Yard each read the deploy file's run and looked for the jar; PeersIT started the same program in two ways alike; two SIGTERM stories were one with a second signal (it keeps all assertions of both). Out: three readers that nobody asked, readers of Section and Managers that were opened for nobody.

--- a/src/main/java/firstage/app/Scale.java
+++ b/src/main/java/firstage/app/Scale.java
@@ -17,7 +17,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
-import org.tomlj.Toml;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -32,8 +31,6 @@
             "2:a file or an order can't be used, or the machine can't bear it"})
 final class Scale implements Callable<Integer> {
     private static final int FAULT = 2;
-    private static final String FALLBACK = "java -Xmx64m -Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=1"
-            + " -jar target/firstage.jar serve";
 
     static int run(String[] args) {
         return Lines.run(new Scale(), "scale", args);
@@ -110,15 +107,11 @@
             }
             ScalePlan plan = read(file, text);
             ScaleRun.check(plan);
-            if (!Files.exists(jar)) {
-                throw new FleetFault(0, jar + " does not exist; mvn -q -DskipTests package makes it");
-            }
+            String command = ServeCommand.of(jar);
             Path folder = (out != null ? out : Path.of("target", "scale", plan.name() + "-" + plan.managers() + "-"
                     + ProcessHandle.current().pid())).toAbsolutePath();
             Files.createDirectories(folder);
             Path inForce = Files.writeString(folder.resolve("plan.toml"), text);
-            Path deploy = Path.of("deploy", "balancer.toml");
-            String command = Files.exists(deploy) ? Toml.parse(deploy).getString("run", () -> FALLBACK) : FALLBACK;
             boolean shows = System.console() != null;
             ScaleRun.Result result = ScaleRun.play(new ScaleRun.Order(plan, inForce, seed, folder,
                     jar.toAbsolutePath(), command, line -> {
--- a/src/main/java/firstage/app/Yard.java
+++ b/src/main/java/firstage/app/Yard.java
@@ -17,7 +17,6 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.stream.Stream;
-import org.tomlj.Toml;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -32,8 +31,6 @@
             "1:a rule broke or an expectation was missed", "2:a file or an order can't be used"})
 final class Yard implements Callable<Integer> {
     private static final int FAULT = 2;
-    private static final String FALLBACK = "java -Xmx64m -Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=1"
-            + " -jar target/firstage.jar serve";
 
     /** Runs it; the exit code tells the verdict. */
     static int run(String[] args) {
@@ -105,12 +102,8 @@
         }
 
         private YardRun.Result play(FleetPlan plan, Path folder, Path program) throws IOException {
-            if (!Files.exists(program)) {
-                throw new FleetFault(0, program + " does not exist; mvn -q -DskipTests package makes it");
-            }
+            String run = ServeCommand.of(program);
             boolean shows = System.console() != null;
-            Path deploy = Path.of("deploy", "balancer.toml");
-            String run = Files.exists(deploy) ? Toml.parse(deploy).getString("run", () -> FALLBACK) : FALLBACK;
             Files.createDirectories(folder);
             Files.copy(file, folder.resolve("plan.toml"), java.nio.file.StandardCopyOption.REPLACE_EXISTING);
             YardRun.Result result = YardRun.play(new YardRun.Order(plan, seed, folder.toAbsolutePath(),
--- a/src/main/java/firstage/cells/Cells.java
+++ b/src/main/java/firstage/cells/Cells.java
@@ -297,7 +297,8 @@
         if (least > r.plan) {
             r.plan = least;
             if (before != null && least >= plan.number()) {
-                effects.noteOfCell(now, "follows", plan.cells().get(cell).name(), "all of it hold plan " + plan.number());
+                effects.noteOfCell(now, "follows", plan.cells().get(cell).name(),
+                        "all of it hold plan " + plan.number());
                 effects.freed(now);
             }
         } else if (fault == Fault.OLDER_ROW_WINS) {
@@ -314,7 +315,8 @@
                 switch (rule.effect) {
                     case NONE -> { }
                     case MET -> effects.noteOfCell(now, "met", of, r.here + " of it are here");
-                    case LOST -> effects.noteOfCell(now, "silent", of, "no row for " + SILENT_AFTER / TELL_EVERY + " s");
+                    case LOST -> effects.noteOfCell(now, "silent", of,
+                            "no row for " + SILENT_AFTER / TELL_EVERY + " s");
                     case BACK -> effects.noteOfCell(now, "heard again", of, r.here + " of it are here");
                 }
                 return;
--- a/src/main/java/firstage/fleet/Section.java
+++ b/src/main/java/firstage/fleet/Section.java
@@ -63,7 +63,7 @@
         return text;
     }
 
-    public boolean flag(String key, boolean absent) {
+    boolean flag(String key, boolean absent) {
         Object value = value(key, absent, "true");
         if (value instanceof Boolean flag) {
             return flag;
@@ -82,7 +82,7 @@
         return (int) (long) whole;
     }
 
-    public double figure(String key, double least, double most, Double absent) {
+    double figure(String key, double least, double most, Double absent) {
         Object value = value(key, absent, "a number");
         if (!(value instanceof Number number)) {
             throw fault(key, value + " is no number");
@@ -98,7 +98,7 @@
     }
 
     /** From 0 to 1, or as "12%". */
-    public double share(String key, Double absent) {
+    double share(String key, Double absent) {
         Object value = value(key, absent, "\"10%\"");
         double share;
         if (value instanceof String text && text.trim().endsWith("%")) {
@@ -111,7 +111,7 @@
         return bounded(key, share, 0, 1);
     }
 
-    public Range figures(String key, double least, double most, String absent) {
+    Range figures(String key, double least, double most, String absent) {
         Object value = value(key, absent, "a number");
         String text = value instanceof Number ? value.toString() : value instanceof String t ? t : "?";
         Range range = range(key, text, Map.of("", 1.0), "\"1 to 2\"");
@@ -125,11 +125,11 @@
         return Math.round(figure(key, value, TIMES, "\"5 s\", \"200 ms\", \"2 min\" or \"1 h\""));
     }
 
-    public Range times(String key, String absent) {
+    Range times(String key, String absent) {
         return range(key, value(key, absent, "\"1 s to 3 s\""), TIMES, "\"1 s to 3 s\"");
     }
 
-    public double size(String key, String absent) {
+    double size(String key, String absent) {
         return figure(key, value(key, absent, "\"16 GB\""), SIZES, "\"512 MB\" or \"16 GB\"");
     }
 
--- a/src/main/java/firstage/lab/CellsField.java
+++ b/src/main/java/firstage/lab/CellsField.java
@@ -74,7 +74,6 @@
         private int from;
         private final long[] bytes = new long[Kind.values().length];
         private final long[] datagrams = new long[Kind.values().length];
-        private int views;
 
         private Place(int number) {
             this.number = number;
@@ -100,10 +99,6 @@
             return cells;
         }
 
-        public int views() {
-            return views;
-        }
-
         public double share() {
             return leases.share(calendar.now());
         }
@@ -226,7 +221,6 @@
 
         @Override
         public void changed(long now, View view) {
-            views++;
             if (cells != null) {
                 cells.viewed(view.names());
             }
@@ -419,9 +413,4 @@
     public long datagrams() {
         return places.stream().mapToLong(p -> Arrays.stream(p.datagrams).sum()).sum();
     }
-
-    /** The most that one manager sent so far, in bytes. */
-    public long most() {
-        return places.stream().mapToLong(Place::bytes).max().orElse(0);
-    }
 }
--- a/src/main/java/firstage/scale/HollowProcess.java
+++ b/src/main/java/firstage/scale/HollowProcess.java
@@ -107,10 +107,6 @@
         return words;
     }
 
-    long pid() {
-        return process.pid();
-    }
-
     @Override
     public void close() {
         orders.close();
--- a/src/main/java/firstage/scale/ScaleRun.java
+++ b/src/main/java/firstage/scale/ScaleRun.java
@@ -1,7 +1,5 @@
 package firstage.scale;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
 import firstage.fleet.FleetFault;
 import firstage.fleet.FleetFile;
 import firstage.fleet.FleetPlan;
@@ -209,7 +207,9 @@
         int started = 0;
         for (int m = 0; m < plan.managers(); m++) {
             if (plan.isReal(m)) {
-                config(like, m, started);
+                Wiring.Place of = new Wiring.Place("m" + m, at.manager(started), at.coordinator(), m,
+                        plan.zones().indexOf(plan.zoneOf(m)), e -> at.engine());
+                Wiring.config(Managers.config(order.folder, started), like, of, order.seed * 1_009 + m);
                 Files.write(Managers.peers(order.folder, started), peers(m));
                 real.start(started, true);
                 started++;
@@ -220,49 +220,6 @@
         }
     }
 
-    private void config(FleetPlan like, int m, int number) throws IOException {
-        try (JsonGenerator out = new JsonFactory().createGenerator(Files.newBufferedWriter(
-                Managers.config(order.folder, number)))) {
-            out.writeStartObject();
-            out.writeStringField("name", "m" + m);
-            out.writeStringField("listen", Addresses.text(at.manager(number)));
-            out.writeStringField("seed", Long.toHexString(order.seed * 1_009 + m));
-            out.writeObjectFieldStart("limits");
-            out.writeNumberField("memory_mb", 192);
-            out.writeNumberField("sockets", 1_024);
-            out.writeEndObject();
-            out.writeStringField("coordinator", Addresses.text(at.coordinator()));
-            out.writeObjectFieldStart("known");
-            out.writeNumberField("index", 1);
-            out.writeArrayFieldStart("updates");
-            out.writeStartObject();
-            out.writeNumberField("index", 1);
-            out.writeObjectFieldStart("endpoints");
-            out.writeNumberField("generation", 0);
-            out.writeBooleanField("reset", true);
-            out.writeArrayFieldStart("instances");
-            for (int e = 0; e < plan.engines(); e++) {
-                out.writeStartObject();
-                out.writeStringField("instanceId", Wiring.engineId(e));
-                out.writeStringField("hostPort", Addresses.text(at.engine()));
-                out.writeStringField("zone", plan.zones().get(e % plan.zones().size()));
-                out.writeStringField("machineType", "std");
-                out.writeNumberField("cell", 0);
-                out.writeStringField("lifecycle", "Ready");
-                out.writeNumberField("weight", 1);
-                out.writeNumberField("startedAtMs", 0);
-                out.writeEndObject();
-            }
-            out.writeEndArray();
-            out.writeEndObject();
-            out.writeEndObject();
-            out.writeEndArray();
-            out.writeEndObject();
-            Wiring.settings(out, like, m, plan.zones().indexOf(plan.zoneOf(m)));
-            out.writeEndObject();
-        }
-    }
-
     private List<String> peers(int m) {
         List<String> lines = new ArrayList<>(List.of("fleet = \"" + plan.name() + "\"", "name = \"m" + m + "\"",
                 "zone = \"" + plan.zoneOf(m) + "\"",
--- a/src/main/java/firstage/yard/Managers.java
+++ b/src/main/java/firstage/yard/Managers.java
@@ -172,7 +172,7 @@
         }
     }
 
-    public boolean lives(int m) {
+    boolean lives(int m) {
         return processes.get(m) != null && processes.get(m).isAlive();
     }
 
--- a/src/main/java/firstage/yard/Wiring.java
+++ b/src/main/java/firstage/yard/Wiring.java
@@ -4,11 +4,13 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import firstage.fleet.FleetPlan;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.IntFunction;
 
 /** Writes what each manager is told at its start: its configuration by the platform's page, and its peers. */
 public final class Wiring {
@@ -17,29 +19,46 @@
     private Wiring() {
     }
 
-    public static String engineId(int e) {
+    static String engineId(int e) {
         return String.format(Locale.ROOT, "s-%08x", e + 1);
     }
 
     /** Its configuration; the seed differs by manager and run. */
     static void config(Path file, FleetPlan plan, Addresses at, int m, long seed) throws IOException {
+        config(file, plan, new Place("m" + m, at.manager(m), at.coordinator(m), m, plan.zoneOf(m),
+                e -> at.engineFrom(m, e)), seed);
+    }
+
+    /**
+     * A manager's: its name, where it listens, whom it asks for the list (nobody where null), its number, its zone, and
+     * where it reaches each engine.
+     */
+    public record Place(String name, InetSocketAddress listen, InetSocketAddress coordinator, int rank, int zone,
+                        IntFunction<InetSocketAddress> engine) {
+    }
+
+    /** The configuration of a manager at this place. */
+    public static void config(Path file, FleetPlan plan, Place of, long seed) throws IOException {
         try (JsonGenerator out = new JsonFactory().createGenerator(Files.newBufferedWriter(file))) {
             out.writeStartObject();
-            out.writeStringField("name", "m" + m);
-            out.writeStringField("listen", Addresses.text(at.manager(m)));
+            out.writeStringField("name", of.name);
+            out.writeStringField("listen", Addresses.text(of.listen));
             out.writeStringField("seed", Long.toHexString(seed));
             out.writeObjectFieldStart("limits");
             out.writeNumberField("memory_mb", 192);
             out.writeNumberField("sockets", 1_024);
             out.writeEndObject();
-            out.writeStringField("coordinator", Addresses.text(at.coordinator(m)));
-            known(out, plan, at, m);
-            settings(out, plan, m);
+            if (of.coordinator != null) {
+                out.writeStringField("coordinator", Addresses.text(of.coordinator));
+            }
+            known(out, plan, of.engine);
+            settings(out, plan, of.rank, of.zone);
             out.writeEndObject();
         }
     }
 
-    private static void known(JsonGenerator out, FleetPlan plan, Addresses at, int m) throws IOException {
+    private static void known(JsonGenerator out, FleetPlan plan, IntFunction<InetSocketAddress> engine)
+            throws IOException {
         out.writeObjectFieldStart("known");
         out.writeNumberField("index", 1);
         out.writeArrayFieldStart("updates");
@@ -52,7 +71,7 @@
         for (int e = 0; e < plan.engines().count(); e++) {
             out.writeStartObject();
             out.writeStringField("instanceId", engineId(e));
-            out.writeStringField("hostPort", Addresses.text(at.engineFrom(m, e)));
+            out.writeStringField("hostPort", Addresses.text(engine.apply(e)));
             out.writeStringField("zone", plan.zones().get(plan.zoneOf(e)));
             out.writeStringField("machineType", "std");
             out.writeNumberField("cell", 0);
@@ -76,12 +95,7 @@
         out.writeEndArray();
     }
 
-    private static void settings(JsonGenerator out, FleetPlan plan, int m) throws IOException {
-        settings(out, plan, m, plan.zoneOf(m));
-    }
-
-    /** The settings by the platform's page, of a manager with this number and zone. */
-    public static void settings(JsonGenerator out, FleetPlan plan, int m, int zone) throws IOException {
+    private static void settings(JsonGenerator out, FleetPlan plan, int m, int zone) throws IOException {
         out.writeObjectFieldStart("settings");
         array(out, "areas", plan.zones());
         array(out, "kinds", List.of("std"));
--- a/src/test/java/firstage/net/CellsIT.java
+++ b/src/test/java/firstage/net/CellsIT.java
@@ -2,15 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
 import firstage.cells.CellPlan;
 import firstage.fleet.FleetFile;
+import firstage.fleet.FleetPlan;
 import firstage.net.members.Peers;
 import firstage.yard.Addresses;
 import firstage.yard.Wiring;
 import java.io.IOException;
-import java.io.StringWriter;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -52,39 +50,14 @@
     }
 
     private Path config(String cell) throws IOException {
-        StringWriter text = new StringWriter();
-        try (JsonGenerator out = new JsonFactory().createGenerator(text)) {
-            out.writeStartObject();
-            out.writeStringField("name", cell);
-            out.writeStringField("listen", at(cell, 60));
-            out.writeObjectFieldStart("known");
-            out.writeNumberField("index", 1);
-            out.writeArrayFieldStart("updates");
-            out.writeStartObject();
-            out.writeNumberField("index", 1);
-            out.writeObjectFieldStart("endpoints");
-            out.writeBooleanField("reset", true);
-            out.writeArrayFieldStart("instances");
-            for (int e = 0; e < ENGINES; e++) {
-                out.writeStartObject();
-                out.writeStringField("instanceId", Wiring.engineId(e));
-                out.writeStringField("hostPort", at("a", 62));
-                out.writeStringField("zone", "z");
-                out.writeStringField("machineType", "std");
-                out.writeStringField("lifecycle", "Ready");
-                out.writeEndObject();
-            }
-            out.writeEndArray();
-            out.writeEndObject();
-            out.writeEndObject();
-            out.writeEndArray();
-            out.writeEndObject();
-            Wiring.settings(out, FleetFile.read(Files.readString(Path.of("deploy", "yard", "calm.toml"))
-                    .replace("zones = \"north, south\"", "zones = \"z\"").replace("count = 4", "count = 2")),
-                    cell.equals("a") ? 0 : 1, 0);
-            out.writeEndObject();
-        }
-        return Files.writeString(folder.resolve(cell + ".json"), text.toString());
+        FleetPlan plan = FleetFile.read(Files.readString(Path.of("deploy", "yard", "calm.toml"))
+                .replace("zones = \"north, south\"", "zones = \"z\"").replace("count = 4", "count = 2")
+                .replace("count = 6", "count = " + ENGINES));
+        Path file = folder.resolve(cell + ".json");
+        int rank = cell.equals("a") ? 0 : 1;
+        Wiring.config(file, plan, new Wiring.Place(cell, Assignment.address(at(cell, 60)), null, rank, 0,
+                e -> Assignment.address(at("a", 62))), rank);
+        return file;
     }
 
     private void start(String cell, int plan) throws Exception {
--- a/src/test/java/firstage/net/PeersIT.java
+++ b/src/test/java/firstage/net/PeersIT.java
@@ -45,12 +45,9 @@
                 .hasSize(1).allMatch(line -> line.contains(" serve\"") && !line.contains("--peers"));
     }
 
-    /** Its word that it gave engines up must hold: started anew with the older file it would use them again. */
-    @Test
-    void aPlanOlderThanTheOneThatWasHeldIsRefused() throws Exception {
-        Path peers = Files.writeString(folder.resolve("peers.toml"), "fleet = 'a'\nlisten = '127.0.0.1:9'\nplan = 7\n"
-                + "[[cell]]\nname = 'c'\nzone = 'z'\nhosts = ['127.0.0.1:9']\n");
-        Files.writeString(folder.resolve("peers.toml.plan"), "8\n");
+    /** Started with this peers file, '~' for the end of a line, the program ends at once. */
+    private void endsWithTwo(String text) throws Exception {
+        Path peers = Files.writeString(folder.resolve("peers.toml"), text.replace('~', '\n'));
         Path config = Files.writeString(folder.resolve("c.json"),
                 "{\"name\":\"m\",\"listen\":\"127.0.0.1:1\",\"settings\":{}}");
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -59,6 +56,14 @@
         Process p = builder.redirectErrorStream(true).redirectOutput(folder.resolve("out").toFile()).start();
         assertThat(p.waitFor(30, TimeUnit.SECONDS)).isTrue();
         assertThat(p.exitValue()).isEqualTo(2);
+    }
+
+    /** Its word that it gave engines up must hold: started anew with the older file it would use them again. */
+    @Test
+    void aPlanOlderThanTheOneThatWasHeldIsRefused() throws Exception {
+        Files.writeString(folder.resolve("peers.toml.plan"), "8\n");
+        endsWithTwo("fleet = 'a'~listen = '127.0.0.1:9'~plan = 7~[[cell]]~name = 'c'~zone = 'z'~"
+                + "hosts = ['127.0.0.1:9']");
         assertThat(Files.readAllLines(folder.resolve("out"))).hasSize(1).allMatch(line -> line.contains(
                 "peers.toml: plan: 7 is older than 8, which this manager held; give it the newer file"));
     }
@@ -84,15 +89,7 @@
                 + "plan = 2~cells = ['c']|before.plan: 2 is not before plan 2",
         "fleet = [|:1:"})
     void aPeersFileThatCannotBeUsedEndsTheProgramWithOneLine(String text, String line) throws Exception {
-        Path peers = Files.writeString(folder.resolve("peers.toml"), text.replace('~', '\n'));
-        Path config = Files.writeString(folder.resolve("c.json"),
-                "{\"name\":\"m\",\"listen\":\"127.0.0.1:1\",\"settings\":{}}");
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-jar", "target/firstage.jar", "serve", "--peers", peers.toString());
-        builder.environment().put("ROUTER_CONFIG", config.toString());
-        Process p = builder.redirectErrorStream(true).redirectOutput(folder.resolve("out").toFile()).start();
-        assertThat(p.waitFor(30, TimeUnit.SECONDS)).isTrue();
-        assertThat(p.exitValue()).isEqualTo(2);
+        endsWithTwo(text);
         assertThat(Files.readString(folder.resolve("out"))).contains("can't serve: ", line).contains("peers.toml");
     }
 }
--- a/src/test/java/firstage/net/ServeIT.java
+++ b/src/test/java/firstage/net/ServeIT.java
@@ -745,19 +745,28 @@
         }
     }
 
-    @Test
-    void afterSigtermWhatRunsTooLongIsPushedBackBeforeTheProgramIsKilled() throws Exception {
+    /** A second SIGTERM, where there is one, must not count the end anew. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void afterSigtermWhatRunsTooLongIsPushedBackBeforeTheProgramIsKilled(boolean again) throws Exception {
         one.script = seen -> seen.what.startsWith("DELETE") ? "HTTP/1.1 204 No Content\r\n\r\n" : NOTHING_NEW;
         try (Client c = new Client()) {
             String path = c.post("report", "", "SELECT 1", 9000).poll();
             c.write("GET " + path, "", "");
             long from = System.nanoTime();
             program.destroy();
+            if (again) {
+                Thread.sleep(1_500);
+                signal("TERM");
+            }
             assertThat(c.read().status).isEqualTo(503);
             assertThat((System.nanoTime() - from) / 1_000_000).isLessThan(3_600);
         }
         assertThat(one.next("DELETE").what).endsWith(job(1));
         assertThat(program.waitFor()).isZero();
+        if (again) {
+            assertThat(Files.readString(folder.resolve("log"))).contains("calls to end that came again=1");
+        }
     }
 
     /** Its connection breaks long after the front sends nothing more: it asks on a new one, or gives up there. */
@@ -781,23 +790,6 @@
         assertThat(program.waitFor()).isZero();
     }
 
-    @Test
-    void aSecondSigtermDoesNotCountTheEndAnew() throws Exception {
-        one.script = seen -> seen.what.startsWith("DELETE") ? "HTTP/1.1 204 No Content\r\n\r\n" : NOTHING_NEW;
-        try (Client c = new Client()) {
-            String path = c.post("report", "", "SELECT 1", 9000).poll();
-            c.write("GET " + path, "", "");
-            long from = System.nanoTime();
-            program.destroy();
-            Thread.sleep(1_500);
-            signal("TERM");
-            assertThat(c.read().status).isEqualTo(503);
-            assertThat((System.nanoTime() - from) / 1_000_000).isLessThan(3_600);
-        }
-        assertThat(program.waitFor()).isZero();
-        assertThat(Files.readString(folder.resolve("log"))).contains("calls to end that came again=1");
-    }
-
     @Test
     void askedToEndWhileItsAddressIsHeldItEnds() throws Exception {
         program.destroyForcibly().waitFor();
