--- a/src/main/java/firstage/cells/Cells.java
+++ b/src/main/java/firstage/cells/Cells.java
@@ -15,8 +15,9 @@
  * <p><b>Rows.</b> A cell tells one row of fixed size of itself: a stamp, the least plan that its managers hold, how
  * many are here, what it sheds. Its deputies, the first three by rendezvous over its view, renew it; each of them
  * sends all rows it knows to one manager of one other cell, drawn anew each second. Within a cell rows go on with
- * the messages of the membership, a few in each, the newest first. So what a manager sends and holds is the same
- * whatever the size of the fleet but for the rows themselves, 12 bytes a cell; with many cells rows only get older.
+ * the messages of the membership, a few in each, newer ones first, others by turns. So what a manager sends and holds
+ * is the same whatever the size of the fleet but for the rows themselves, 12 bytes a cell; with many cells rows only
+ * get older.
  *
  * <p><b>Engines.</b> A manager holds one plan for its whole life, and the one before it while it is being replaced. Of
  * an engine that both give to its cell it uses its part; of one that only the old plan gives, nothing; one that only
@@ -34,7 +35,8 @@
     private static final long LEAST_BETWEEN = 5_000; // two renewals: a view that changes often is no flood
     private static final long LOOK_EVERY = 5_000; // at what has grown old
     private static final int ROWS_A_MESSAGE = 6; // 72 bytes on each message of the membership
-    private static final int TELLINGS = 3; // of a newer row by each manager: one of twenty hears of the next one only
+    private static final int TELLINGS = 2; // of a newer row by each manager: one of seven hears of it by turns only
+    private static final int BY_TURNS = 2; // of a message, newer or not: none stays unheard by chance
     private static final int MOST = 1_200; // bytes of a datagram: under the least MTU of IPv6 with its heads
     private static final int HEAD = 1 + 3 * Integer.BYTES; // version, fleet, plan's number and mark
     private static final int ROW = Short.BYTES + 2 * Integer.BYTES + 2; // cell, stamp, plan, here, cut
@@ -119,6 +121,7 @@
     private long nextRow;
     private long nextLook;
     private int turn;
+    private int next;
     private boolean noted;
 
     /**
@@ -360,6 +363,13 @@
                 fresh.add(c);
             }
         }
+        int most = Math.min(ROWS_A_MESSAGE, told.size() + BY_TURNS);
+        for (int i = 0; i < rows.length && told.size() < most; i++) {
+            next = (next + 1) % rows.length;
+            if (rows[next].standing == Standing.HEARD && !told.contains(next)) {
+                told.add(next);
+            }
+        }
         Bytes out = head(1 + told.size() * ROW + rest.length).put(told.size(), 1);
         told.forEach(c -> put(out, c));
         return out.put(rest).all();
