--- a/src/main/java/firstage/app/Scale.java
+++ b/src/main/java/firstage/app/Scale.java
@@ -13,6 +13,7 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -150,9 +151,19 @@
         @Option(names = "--region", paramLabel = "MIN",
                 description = "plays two regions that lose each other for so many minutes, and nothing else")
         private Integer region;
+        @Option(names = "--heap", description = "what a manager's state takes of the heap, and nothing else")
+        private boolean heap;
         @Option(names = "--out", paramLabel = "DIR", description = "slopes.csv goes there")
         private Path out;
 
+        private Map<String, Double> heap(int size) {
+            Map<String, Double> row = new LinkedHashMap<>();
+            row.put("managers", (double) size);
+            row.put("heap of a manager, KB", Slopes.heap(new Shape(size, cell, zones, 1, !bare, 200, Cells.Fault.NONE),
+                    seed));
+            return row;
+        }
+
         @Override
         public Integer call() throws IOException {
             List<Map<String, Double>> rows = new ArrayList<>();
@@ -164,7 +175,7 @@
                 if (region != null && (region < 1 || region > 1_440)) {
                     throw new FleetFault(0, "--region " + region + " is impossible; 1 to 1440 minutes would do");
                 }
-                rows.add(region != null ? Slopes.region(new Shape(size, cell, zones, 1, !bare, 400, Cells.Fault.NONE),
+                rows.add(heap ? heap(size) : region != null ? Slopes.region(new Shape(size, cell, zones, 1, !bare, 400, Cells.Fault.NONE),
                         seed, region * 600_000L)
                         : Slopes.play(new Shape(size, cell, zones, 1, !bare, 200, Cells.Fault.NONE), seed, deep));
                 System.out.println("simulated, " + size + " managers");
--- a/src/main/java/firstage/app/Yard.java
+++ b/src/main/java/firstage/app/Yard.java
@@ -93,6 +93,9 @@
                 FleetPlan plan = FleetFile.read(managers == null ? text
                         : text.replaceFirst("(?m)(^\\[managers\\][^\\[]*?^count\\s*=\\s*)\\d+", "$1" + managers));
                 YardRun.check(plan);
+                if (plan.cells() != null && !peers) {
+                    throw new FleetFault(0, " managers.cell: cells are told with the peers; --peers would do");
+                }
                 return plan;
             } catch (NoSuchFileException fault) {
                 throw new FleetFault(0, file + " does not exist; yard list names plans");
--- a/src/main/java/firstage/scale/ScalePlan.java
+++ b/src/main/java/firstage/scale/ScalePlan.java
@@ -16,7 +16,15 @@
  * would do. {@code cell} 0 is a fleet that is one; {@code period} and times in tenths of a millisecond.
  */
 public record ScalePlan(String name, long settle, long length, List<String> zones, int hollow, int real, int cell,
-                        int spread, int engines, int inAProcess, long period, List<Event> events) {
+                        int spread, int engines, int inAProcess, long period, List<Load> loads,
+                        List<Event> events) {
+    /**
+     * Clients of the first real manager for so long: connections that stay open, statements a second over all.
+     * {@code counted}: goes into the slopes; a first one that only warms the program does not.
+     */
+    public record Load(int connections, double rate, long length, boolean counted) {
+    }
+
     /** What happens, and how long after all have settled. */
     public record Event(Kind kind, long at, int line) {
     }
@@ -30,6 +38,9 @@
     private static final int MOST_A_PROCESS = 400;
     private static final int MOST_CELL = 200;
     private static final long MOST_LENGTH = 6_000_000;
+    private static final long LEAST_LOAD = 20_000;
+    private static final int MOST_CONNECTIONS = 10_000;
+    private static final double MOST_RATE = 10_000;
 
     /** The plan that this text sets; {@link FleetFault} names line and cure. */
     public static ScalePlan read(String text) {
@@ -49,11 +60,15 @@
                     s.time("at", null), s.line()));
             s.done();
         }
+        List<Load> loads = new ArrayList<>();
+        for (Section s : top.tables("load")) {
+            loads.add(load(s));
+        }
         ScalePlan plan = new ScalePlan(top.text("name", "scale"), top.time("settle", "12 s"), top.time("length", null),
                 zones, managers.whole("hollow", 1, MOST_MANAGERS, null), managers.whole("real", 0, MOST_REAL, 0),
                 managers.whole("cell", 0, MOST_CELL, 0), managers.whole("spread", 1, 64, 1),
                 engines.whole("count", 1, MOST_ENGINES, null),
-                managers.whole("in_a_process", 1, MOST_A_PROCESS, 200), top.time("probe", "200 ms"), events);
+                managers.whole("in_a_process", 1, MOST_A_PROCESS, 200), top.time("probe", "200 ms"), loads, events);
         top.done();
         managers.done();
         engines.done();
@@ -61,7 +76,26 @@
         return plan;
     }
 
+    private static Load load(Section s) {
+        Load load = new Load(s.whole("connections", 1, MOST_CONNECTIONS, null), s.figure("rate", 0.1, MOST_RATE, null),
+                s.time("length", "10 s"), s.flag("counted", true));
+        if (load.connections > load.rate * LoadClients.MOST_REST_S) {
+            throw s.fault("rate", String.format(Locale.ROOT, "%d connections at %.1f statements a second rest over"
+                    + " %.0f s, and clients close such; %.1f would do", load.connections, load.rate,
+                    LoadClients.MOST_REST_S, load.connections / LoadClients.MOST_REST_S));
+        }
+        if (load.length < LEAST_LOAD || load.length > MOST_LENGTH) {
+            throw s.fault("length", "impossible; " + LEAST_LOAD / 10_000 + " s to " + MOST_LENGTH / 600_000
+                    + " min would do");
+        }
+        s.done();
+        return load;
+    }
+
     private void check(Section managers, Section top) {
+        if (!loads.isEmpty() && real == 0) {
+            throw managers.fault("real", "a load wants a real manager; 1 would do");
+        }
         if (cell > 0 && managers() % cell != 0) {
             throw managers.fault("hollow", managers() + " managers are no whole number of cells of " + cell + "; "
                     + (managers() / cell + 1) * cell + " would do");
--- a/src/main/java/firstage/scale/ScaleRun.java
+++ b/src/main/java/firstage/scale/ScaleRun.java
@@ -27,6 +27,8 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.apache.commons.math3.stat.descriptive.DescriptiveStatistics;
+import org.apache.commons.math3.stat.regression.OLSMultipleLinearRegression;
+import org.apache.commons.math3.stat.regression.SimpleRegression;
 
 /** One run: hollow processes, real managers and the coordinator started, the plan's events played, figures taken. */
 public final class ScaleRun implements AutoCloseable {
@@ -47,6 +49,13 @@
     private static final int BACK_MS = 3_000;
     private static final int AWAY_MS = 2_000;
     private static final double PERCENT = 99;
+    /** What a statement takes at a hollow engine: under what 279 a second leave it on eight cores. */
+    private static final long STATEMENT_MS = 20;
+    private static final long RAMP_MS = 4_000;
+    /** Loads from which a processor's two slopes can be told with an error. */
+    private static final int FEWEST_LOADS = 4;
+    private static final int SOCKETS = 1_024;
+    private static final String CUSTOMER = "one";
     private static final Map<String, List<String>> OF_PHASE = Map.of("kill", List.of("a kill"), "restart",
             List.of("a leave", "a return"), "list", List.of("a change of the list"), "zone", List.of("a dead cell"),
             "mass", List.of("whole after", "events: worst"));
@@ -66,7 +75,7 @@
     private final ServerSocket lock;
     private final Places at;
     private final Watches watches;
-    private final ServerSocket engines;
+    private final HollowEngines engines;
     private final Managers real;
     private final List<HollowProcess> hollow = new ArrayList<>();
     private final Map<String, Double> figures = new LinkedHashMap<>();
@@ -83,8 +92,7 @@
         lock = Addresses.hold();
         at = new Places(lock.getLocalPort());
         watches = new Watches(at.coordinator());
-        engines = new ServerSocket();
-        engines.bind(at.engine(), 50);
+        engines = new HollowEngines(at.engine(), STATEMENT_MS);
         real = new Managers(order.folder, Managers.notes().resolve("scale-" + at.port() + ".held"),
                 Managers.command(order.run, order.jar), Math.max(1, plan.real()));
         Runtime.getRuntime().addShutdownHook(hook);
@@ -143,6 +151,7 @@
         figure("watches", watches.open());
         phases.put("steady", fewestLines());
         steady();
+        loads();
         int mark = fewestLines();
         events();
         for (int s = 0; s < AFTER_S; s++) {
@@ -209,7 +218,7 @@
             if (plan.isReal(m)) {
                 Wiring.Place of = new Wiring.Place("m" + m, at.manager(started), at.coordinator(), m,
                         plan.zones().indexOf(plan.zoneOf(m)), e -> at.engine());
-                Wiring.config(Managers.config(order.folder, started), like, of, order.seed * 1_009 + m);
+                Wiring.config(Managers.config(order.folder, started), like, of, order.seed * 1_009 + m, sockets());
                 Files.write(Managers.peers(order.folder, started), peers(m));
                 real.start(started, true);
                 started++;
@@ -220,6 +229,11 @@
         }
     }
 
+    /** Clients hold a third of the descriptors at most; each engine known may hold some. */
+    private int sockets() {
+        return Math.max(SOCKETS, plan.loads().stream().mapToInt(l -> 3 * l.connections() + SOCKETS).max().orElse(0));
+    }
+
     private List<String> peers(int m) {
         List<String> lines = new ArrayList<>(List.of("fleet = \"" + plan.name() + "\"", "name = \"m" + m + "\"",
                 "zone = \"" + plan.zoneOf(m) + "\"",
@@ -299,6 +313,79 @@
                 .min().orElse(0));
     }
 
+    /** The first real manager under its clients, load by load; then what a statement and a connection cost it. */
+    private void loads() throws IOException {
+        if (plan.loads().isEmpty()) {
+            return;
+        }
+        List<double[]> measured = new ArrayList<>();
+        try (LoadClients clients = new LoadClients(at.manager(0), CUSTOMER)) {
+            int number = 0;
+            for (ScalePlan.Load l : plan.loads()) {
+                String name = "load " + ++number;
+                order.progress.accept(name);
+                clients.play(l.connections(), l.rate());
+                rest((long) (RAMP_MS + l.connections() / l.rate() * 1_000));
+                phases.put(name, fewestLines());
+                double[] row = load(name + ": ", clients, l);
+                if (l.counted()) {
+                    measured.add(row);
+                }
+                phases.put("after " + name, fewestLines());
+            }
+        }
+        rest(RAMP_MS);
+        if (measured.size() >= FEWEST_LOADS) {
+            slopes(measured);
+        }
+    }
+
+    /** What it came to: statements a second, connections, processor in ms a second, resident MB. */
+    private double[] load(String name, LoadClients clients, ScalePlan.Load l) {
+        long[] before = {clients.returned(), clients.pushedBack(), clients.failed(), clients.opened(),
+                engines.taken(), engines.probes()};
+        double cpu = cpuMs(0);
+        long since = System.nanoTime();
+        clients.latency().reset();
+        clients.late().reset();
+        rest(l.length() / 10);
+        double took = (System.nanoTime() - since) / 1e9;
+        cpu = (cpuMs(0) - cpu) / took;
+        double returned = (clients.returned() - before[0]) / took;
+        double pushedBack = (clients.pushedBack() - before[1]) / took;
+        double failed = (clients.failed() - before[2]) / took;
+        figure(name + "connections", l.connections());
+        figure(name + "statements a s", returned + pushedBack + failed);
+        figure(name + "returned, part", returned / Math.max(1e-9, returned + pushedBack + failed));
+        figure(name + "failed a s", failed);
+        figure(name + "connections opened a s", (clients.opened() - before[3]) / took);
+        figure(name + "dispatches a s", (engines.taken() - before[4]) / took);
+        figure(name + "probes a s", (engines.probes() - before[5]) / took);
+        figure(name + "median, ms", clients.latency().getValueAtPercentile(50) / 1e3);
+        figure(name + "99th, ms", clients.latency().getValueAtPercentile(PERCENT) / 1e3);
+        figure(name + "clients late, 99th, ms", clients.late().getValueAtPercentile(PERCENT) / 1e3);
+        figure(name + "processor, ms a s", cpu);
+        figure(name + "resident MB", residentMb(0));
+        return new double[] {returned + pushedBack + failed, l.connections(), cpu, residentMb(0)};
+    }
+
+    /** Least squares over the loads, with standard errors; memory by connections alone, as it does not shrink. */
+    private void slopes(List<double[]> measured) {
+        OLSMultipleLinearRegression fit = new OLSMultipleLinearRegression();
+        fit.newSampleData(measured.stream().mapToDouble(m -> m[2]).toArray(), measured.stream().map(m -> new double[] {
+                m[0], m[1]}).toArray(double[][]::new));
+        double[] slope = fit.estimateRegressionParameters();
+        double[] error = fit.estimateRegressionParametersStandardErrors();
+        figure("slope: us of processor a statement", slope[1] * 1e3);
+        figure("slope: us of processor a statement, error", error[1] * 1e3);
+        figure("slope: us a second and connection", slope[2] * 1e3);
+        figure("slope: us a second and connection, error", error[2] * 1e3);
+        SimpleRegression memory = new SimpleRegression();
+        measured.forEach(m -> memory.addData(m[1], m[3] * 1_024));
+        figure("slope: resident KB a connection", memory.getSlope());
+        figure("slope: resident KB a connection, error", memory.getSlopeStdErr());
+    }
+
     private double cpuMs(int r) {
         return real.handle(r).info().totalCpuDuration().map(d -> (double) d.toMillis()).orElse(0.0);
     }
@@ -491,8 +578,8 @@
             [[group]]
             name = "lookup"
             share = "100%"
-            work = "160 ms"
-            memory = "300 MB"
+            work = "20 ms"
+            memory = "30 MB"
             goal = "1 s"
             limit = "5 s"
             effect = "repeatable"
--- a/src/main/java/firstage/scale/Slopes.java
+++ b/src/main/java/firstage/scale/Slopes.java
@@ -5,6 +5,8 @@
 import firstage.lab.CellsField.Kind;
 import firstage.lab.CellsField.Place;
 import firstage.lab.CellsField.Shape;
+import java.lang.management.ManagementFactory;
+import java.lang.management.MemoryMXBean;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.LinkedHashMap;
@@ -35,6 +37,26 @@
     private Slopes() {
     }
 
+    /**
+     * Heap that a manager's state takes, in KB, 30 s after all started: the difference of the whole heap with and
+     * without the fleet in it, so nothing else may run in the process. The engines it holds apart are in none of it.
+     */
+    public static double heap(Shape shape, long seed) {
+        double before = used();
+        CellsField f = new CellsField(shape, seed);
+        start(f, shape, new LinkedHashMap<>());
+        f.pass(10 * SECOND);
+        double after = used();
+        return f.places().isEmpty() ? 0 : (after - before) / 1_024 / shape.managers();
+    }
+
+    private static double used() {
+        MemoryMXBean memory = ManagementFactory.getMemoryMXBean();
+        memory.gc();
+        memory.gc();
+        return memory.getHeapMemoryUsage().getUsed();
+    }
+
     /** What is measured of one size; {@code deep}: the mass restart and the day's restarts too. */
     public static Map<String, Double> play(Shape shape, long seed, boolean deep) {
         Map<String, Double> row = new LinkedHashMap<>();
--- a/src/main/java/firstage/yard/Wiring.java
+++ b/src/main/java/firstage/yard/Wiring.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import firstage.cells.CellPlan;
 import firstage.fleet.FleetPlan;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -11,6 +12,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.function.IntFunction;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /** Writes what each manager is told at its start: its configuration by the platform's page, and its peers. */
 public final class Wiring {
@@ -39,6 +42,11 @@
 
     /** The configuration of a manager at this place. */
     public static void config(Path file, FleetPlan plan, Place of, long seed) throws IOException {
+        config(file, plan, of, seed, 1_024);
+    }
+
+    /** The same; {@code sockets}: the limit that it is told. */
+    public static void config(Path file, FleetPlan plan, Place of, long seed, int sockets) throws IOException {
         try (JsonGenerator out = new JsonFactory().createGenerator(Files.newBufferedWriter(file))) {
             out.writeStartObject();
             out.writeStringField("name", of.name);
@@ -46,7 +54,7 @@
             out.writeStringField("seed", Long.toHexString(seed));
             out.writeObjectFieldStart("limits");
             out.writeNumberField("memory_mb", 192);
-            out.writeNumberField("sockets", 1_024);
+            out.writeNumberField("sockets", sockets);
             out.writeEndObject();
             if (of.coordinator != null) {
                 out.writeStringField("coordinator", Addresses.text(of.coordinator));
@@ -99,7 +107,7 @@
         out.writeObjectFieldStart("settings");
         array(out, "areas", plan.zones());
         array(out, "kinds", List.of("std"));
-        out.writeNumberField("group_size", plan.managers().count());
+        out.writeNumberField("group_size", plan.managers().of());
         out.writeNumberField("rank", m);
         out.writeNumberField("zone", zone);
         out.writeArrayFieldStart("classes");
@@ -128,7 +136,7 @@
             out.writeStartObject();
             out.writeStringField("name", c.name());
             out.writeNumberField("quota_per_s", plan.customers().size() < 2 ? 1e9
-                    : plan.traffic().rate() * c.share() / shares);
+                    : plan.traffic().rate() * plan.managers().of() / plan.managers().count() * c.share() / shares);
             out.writeEndObject();
         }
         out.writeEndArray();
@@ -175,9 +183,22 @@
         List<String> lines = new ArrayList<>();
         lines.add("fleet = \"" + plan.name() + "\"");
         lines.add("name = \"m" + m + "\"");
-        lines.add("zone = \"" + plan.zones().get(plan.zoneOf(m)) + "\"");
         lines.add("listen = \"" + Addresses.text(at.mail(m)) + "\"");
         lines.add("probe = \"200 ms\"");
+        CellPlan cells = plan.cells();
+        if (cells != null) {
+            lines.addAll(List.of("plan = " + cells.number(), "spread = " + cells.spread()));
+            for (CellPlan.Cell c : cells.cells()) {
+                lines.addAll(List.of("", "[[cell]]", "name = \"" + c.name() + "\"", "zone = \"" + c.zone() + "\"",
+                        "hosts = [" + IntStream.range(0, plan.managers().count())
+                        .filter(p -> plan.cellOf(p) == cells.index(c.name()))
+                        .mapToObj(p -> "\"" + Addresses.text(p == m ? at.mail(m) : at.peerFrom(m, p)) + "\"")
+                        .collect(Collectors.joining(", ")) + "]"));
+            }
+            Files.write(file, lines);
+            return;
+        }
+        lines.add("zone = \"" + plan.zones().get(plan.zoneOf(m)) + "\"");
         for (int p = 0; p < plan.managers().count(); p++) {
             if (p != m) {
                 lines.add("");
--- a/src/test/java/firstage/scale/ScaleIT.java
+++ b/src/test/java/firstage/scale/ScaleIT.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -46,13 +47,53 @@
         return figures.containsKey(name) ? figures.get(name) : figures.get("(void) " + name);
     }
 
+    /** A real manager of a cell under clients whose connections stay open: what they ask for is served, and counted. */
+    @Test
+    void aRealManagerIsMeasuredUnderItsClients() throws IOException {
+        Path plan = Files.writeString(folder.resolve("load.toml"), """
+                name = "load"
+                settle = "5 s"
+                length = "500 ms"
+                [managers]
+                hollow = 19
+                real = 1
+                cell = 10
+                spread = 2
+                in_a_process = 20
+                [engines]
+                count = 40
+                [[load]]
+                connections = 30
+                rate = 30.0
+                length = "3 s"
+                """);
+        Map<String, Double> figures = ScaleRun.play(new ScaleRun.Order(ScalePlan.read(Files.readString(plan)), plan, 1,
+                folder, Path.of("target", "firstage.jar").toAbsolutePath(), RUN, line -> { })).figures();
+        assertThat(of(figures, "load 1: statements a s")).isBetween(20.0, 40.0);
+        assertThat(of(figures, "load 1: returned, part")).isGreaterThan(0.95);
+        assertThat(of(figures, "load 1: dispatches a s")).isGreaterThan(20);
+        assertThat(of(figures, "load 1: connections opened a s")).isLessThan(2);
+        assertThat(of(figures, "load 1: median, ms")).isGreaterThanOrEqualTo(19);
+    }
+
+    @Test
+    void aLoadWhoseConnectionsWouldBeClosedIsRefused() throws IOException {
+        String clients = Files.readString(Path.of("deploy", "scale", "clients.toml"));
+        assertThat(ScalePlan.read(clients).loads()).hasSizeGreaterThan(4);
+        assertThatThrownBy(() -> ScalePlan.read(clients.replace("rate = 610.0", "rate = 462.0")))
+                .hasMessageContaining("load 8.rate: 2423 connections at 462.0 statements a second rest over 4 s, and"
+                        + " clients close such; 605.8 would do");
+        assertThatThrownBy(() -> ScalePlan.read(clients.replace("real = 1", "real = 0").replace("hollow = 159",
+                "hollow = 160"))).hasMessageContaining("managers.real: a load wants a real manager; 1 would do");
+    }
+
     @Test
     void aPlanThatTheMachineCannotBearIsRefused() throws IOException {
         String small = Files.readString(Path.of("deploy", "scale", "small.toml"));
         ScalePlan large = ScalePlan.read(small.replace("hollow = 96", "hollow = 4000").replace("cell = 25",
                 "cell = 0").replace("spread = 2", "spread = 1").replace("real = 4", "real = 0"));
         assertThatThrownBy(() -> ScaleRun.check(new ScalePlan(large.name(), large.settle(), large.length(),
-                large.zones(), 400_000, 0, 0, 1, 430, 400, large.period(), large.events())))
+                large.zones(), 400_000, 0, 0, 1, 430, 400, large.period(), List.of(), large.events())))
                 .hasMessageContaining("over half of this machine's");
         assertThatThrownBy(() -> ScalePlan.read(small.replace("real = 4", "real = 5")))
                 .hasMessageContaining("no whole number of cells of 25; 125 would do");
--- a/src/test/java/firstage/yard/YardIT.java
+++ b/src/test/java/firstage/yard/YardIT.java
@@ -8,6 +8,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -26,9 +28,17 @@
     @TempDir
     private Path folder;
 
+    private static String text(String plan) throws IOException {
+        return Files.readString(Path.of("deploy", "yard", plan + ".toml"))
+                .replaceFirst("(?s)\\[\\[expect.*", "").replace("rate = 50.0", "rate = 25.0");
+    }
+
     private YardRun.Result play(String plan, boolean peers, String more) throws IOException {
-        FleetPlan read = FleetFile.read(Files.readString(Path.of("deploy", "yard", plan + ".toml"))
-                .replaceFirst("(?s)\\[\\[expect.*", "").replace("rate = 50.0", "rate = 25.0") + more);
+        return playText(text(plan) + more, peers);
+    }
+
+    private YardRun.Result playText(String plan, boolean peers) throws IOException {
+        FleetPlan read = FleetFile.read(plan);
         YardRun.check(read);
         return YardRun.play(new YardRun.Order(read, 1, folder, Path.of("target", "firstage.jar").toAbsolutePath(),
                 RUN, peers,
@@ -77,6 +87,27 @@
         assertThat(told(0, "\"is\":\"gone\"")).isEmpty();
     }
 
+    /** Twelve processes in four cells: engines come back cold, a cell is cut off from another, managers die. */
+    @Test
+    void inCellsNoRuleBreaksAndEachSendsToTheEnginesOfItsZoneOnly() throws IOException {
+        holds(playText(text("cells").replace("length = \"26 s\"", "length = \"14 s\"")
+                .replace("at = \"5 s\"", "at = \"3 s\"").replace("at = \"13 s\"", "at = \"7 s\"")
+                .replace("at = \"15 s\"", "at = \"8 s\""), true));
+        for (int m = 0; m < 12; m++) {
+            assertThat(told(m, "\"is\":\"met\"")).as("cells that m" + m + " met").hasSizeGreaterThanOrEqualTo(2);
+        }
+        List<String> sent = Files.readAllLines(folder.resolve("timeline.jsonl")).stream()
+                .filter(line -> line.contains("\"dispatched\"")).toList();
+        assertThat(sent).hasSizeGreaterThan(50).allMatch(line -> number(line, "manager") % 2 == number(line,
+                "engine") % 2);
+    }
+
+    private static int number(String line, String name) {
+        Matcher m = Pattern.compile("\"" + name + "\":(\\d+)").matcher(line);
+        assertThat(m.find()).as(line).isTrue();
+        return Integer.parseInt(m.group(1));
+    }
+
     @Test
     void whatAYardThatWasKilledLeftIsFoundNamedAndEnded() throws Exception {
         Process yard = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-jar",
