Watches end without a fault; hollow engines keep when a statement is over

Cause: a scale run that closed cancelled keys under the loop of its coordinator stand-in, whose thread then ended with CancelledKeyException on standard error (seen once, at the end of scale run deploy/scale/size.toml). Only at the close is it passed over.

--- a/src/main/java/firstage/scale/HollowEngines.java
+++ b/src/main/java/firstage/scale/HollowEngines.java
@@ -22,16 +22,8 @@
     private static final HttpString PAGE_COUNT = new HttpString("Page-Count");
     private static final HttpString METER = new HttpString("X-Meter");
 
-    /** On the listener's one thread. */
-    private static final class Statement {
-        private final long dueMs;
-
-        private Statement(long workMs) {
-            dueMs = now() + workMs;
-        }
-    }
-
-    private final Map<String, Statement> statements = new HashMap<>();
+    /** By id, when each is over, in ms; on the listener's one thread. */
+    private final Map<String, Long> statements = new HashMap<>();
     private final AtomicLong taken = new AtomicLong();
     private final AtomicLong probes = new AtomicLong();
     private final long workMs;
@@ -66,7 +58,7 @@
         if (method.equals("POST")) {
             x.getRequestReceiver().receiveFullBytes((whole, body) -> {
                 String id = whole.getRequestHeaders().getFirst(TICKET);
-                statements.put(id, new Statement(workMs));
+                statements.put(id, now() + workMs);
                 taken.incrementAndGet();
                 whole.getIoThread().executeAfter(() -> statements.remove(id), workMs + FORGETS_MS,
                         TimeUnit.MILLISECONDS);
@@ -86,9 +78,9 @@
         }
     }
 
-    private static void news(HttpServerExchange x, Statement s) {
-        long left = s == null ? 0 : s.dueMs - now();
-        if (s == null) {
+    private static void news(HttpServerExchange x, Long due) {
+        long left = due == null ? 0 : due - now();
+        if (due == null) {
             answer(x, 500);
         } else if (left <= 0) {
             row(x);
--- a/src/main/java/firstage/scale/Watches.java
+++ b/src/main/java/firstage/scale/Watches.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
+import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
@@ -90,6 +91,11 @@
                     }
                 }
             }
+        } catch (CancelledKeyException fault) {
+            // Keys end under this loop only where the run closes.
+            if (!closed) {
+                throw fault;
+            }
         } catch (IOException fault) {
             throw new UncheckedIOException(fault);
         }
