--- a/src/main/java/firstage/app/Scale.java
+++ b/src/main/java/firstage/app/Scale.java
@@ -156,11 +156,10 @@
         @Option(names = "--out", paramLabel = "DIR", description = "slopes.csv goes there")
         private Path out;
 
-        private Map<String, Double> heap(int size) {
+        private Map<String, Double> heap(Shape shape) {
             Map<String, Double> row = new LinkedHashMap<>();
-            row.put("managers", (double) size);
-            row.put("heap of a manager, KB", Slopes.heap(new Shape(size, cell, zones, 1, !bare, 200, Cells.Fault.NONE),
-                    seed));
+            row.put("managers", (double) shape.managers());
+            row.put("heap of a manager, KB", Slopes.heap(shape, seed));
             return row;
         }
 
@@ -175,9 +174,9 @@
                 if (region != null && (region < 1 || region > 1_440)) {
                     throw new FleetFault(0, "--region " + region + " is impossible; 1 to 1440 minutes would do");
                 }
-                rows.add(heap ? heap(size) : region != null ? Slopes.region(new Shape(size, cell, zones, 1, !bare, 400, Cells.Fault.NONE),
-                        seed, region * 600_000L)
-                        : Slopes.play(new Shape(size, cell, zones, 1, !bare, 200, Cells.Fault.NONE), seed, deep));
+                Shape shape = new Shape(size, cell, zones, 1, !bare, region != null ? 400 : 200, Cells.Fault.NONE);
+                rows.add(heap ? heap(shape) : region != null ? Slopes.region(shape, seed, region * 600_000L)
+                        : Slopes.play(shape, seed, deep));
                 System.out.println("simulated, " + size + " managers");
                 rows.get(rows.size() - 1).forEach((n, v) -> System.out.printf(Locale.ROOT, "  %-56s %12.3f%n", n, v));
             }
--- a/src/test/java/firstage/net/ServeIT.java
+++ b/src/test/java/firstage/net/ServeIT.java
@@ -786,7 +786,7 @@
         assertThat(one.next("POST /x").body).isEqualTo("SELECT 1 FROM sales_17.orders");
     }
 
-    /** While the thread stands still a silent connection's time runs out and a call comes there: it is a call of ours. */
+    /** While the thread stands still a silent connection's time runs out and a call comes there: it is ours. */
     @ParameterizedTest
     @ValueSource(strings = {"mute", "idle"})
     void aCallThatComesInTheMomentOfACloseIsAnswered(String was) throws Exception {
