--- a/src/test/java/firstage/fleet/FleetRunTest.java
+++ b/src/test/java/firstage/fleet/FleetRunTest.java
@@ -108,7 +108,7 @@
     }
 
     @Test
-    void inCellsAManagerSendsToTheEnginesOfItsCellOnly() {
+    void aFleetInCellsIsPlayedAndKeepsTheRules() {
         FleetPlan plan = FleetFile.read(cells());
         assertThat(plan.cells().cells()).hasSize(8).allMatch(c -> c.slots() == 2);
         for (int m = 0; m < 16; m++) {
