Emulated watches close their listener before close returns

Cause: close() woke the selector's thread, which ended, and closed the listener after it. A channel that is registered is released only when its selector deregisters it, and nobody ran or closed the selector any more. Change: the selector's thread closes the channels and the selector as it ends, and close() waits for it. Evidence: EmulatedWatchesTest opens and closes 300 times on one address; it failed on (BindException) and passes now.

--- a/src/main/java/firstage/scale/EmulatedWatches.java
+++ b/src/main/java/firstage/scale/EmulatedWatches.java
@@ -5,7 +5,6 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
-import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
@@ -36,6 +35,7 @@
     private final ServerSocketChannel server = ServerSocketChannel.open();
     private final List<byte[]> events = new ArrayList<>();
     private final Queue<byte[]> told = new ConcurrentLinkedQueue<>();
+    private final Thread thread;
     private volatile boolean closed;
     private volatile int open;
     private volatile long bytes;
@@ -45,7 +45,7 @@
         server.bind(at, LINE);
         server.configureBlocking(false);
         server.register(selector, SelectionKey.OP_ACCEPT);
-        Thread thread = new Thread(this::run, "watches");
+        thread = new Thread(this::run, "watches");
         thread.setDaemon(true);
         thread.start();
     }
@@ -101,11 +101,23 @@
                     }
                 }
             }
-        } catch (CancelledKeyException fault) {
-            // Keys end under this loop only where the run closes.
-            if (!closed) {
-                throw fault;
+        } catch (IOException fault) {
+            throw new UncheckedIOException(fault);
+        } finally {
+            closeChannels();
+        }
+    }
+
+    /**
+     * On the selector's own thread. A channel that is registered is released by the system only
+     * once its selector has deregistered it, which closing the selector does.
+     */
+    private void closeChannels() {
+        try {
+            for (SelectionKey key : new ArrayList<>(selector.keys())) {
+                key.channel().close();
             }
+            selector.close();
         } catch (IOException fault) {
             throw new UncheckedIOException(fault);
         }
@@ -165,13 +177,15 @@
         }
     }
 
+    /** Returns once the listener and all watches are closed: the address is free again. */
     @Override
     public void close() throws IOException {
         closed = true;
         selector.wakeup();
-        server.close();
-        for (SelectionKey key : new ArrayList<>(selector.keys())) {
-            key.channel().close();
+        try {
+            thread.join();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
         }
     }
 }
