Trace every request: path sent, polls, closed calls, absence, ends, with reasons

The flight recorder kept events of keyed requests only, and nothing of what a client's call went through, so a late send could not be traced. It keeps all requests now, with the reason of each close and end, and logs each event where its class logs at FINE, as the integration tests have it (trace-logging.properties).

--- a/src/main/java/firstage/server/FlightRecorder.java
+++ b/src/main/java/firstage/server/FlightRecorder.java
@@ -2,12 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
+import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /**
- * The latest events of requests with an ordering key, and the thread's stalls, in a ring of fixed
- * size: written to the log when an invariant is broken. An event costs a few stores, and no line
- * until then. Owned by the I/O thread.
+ * The latest events of requests, and the thread's stalls, in a ring of fixed size: written to the
+ * log when an invariant is broken. An event costs a few stores, and no line until then, unless this
+ * class logs at {@link Level#FINE}: then each event is a line. Owned by the I/O thread.
  */
 public final class FlightRecorder {
     /** What happened; the two figures beside it are as said. */
@@ -29,12 +31,28 @@
          * ms.
          */
         ATTEMPT_ENDED,
-        /** The client has its answer, or left. */
+        /** The client has its answer, or left; the reason names the end. */
         REQUEST_ENDED,
+        /** The client has a path to poll. */
+        POLL_PATH_SENT,
+        /** The client polls: how many of its calls are held. */
+        POLLED,
+        /** A held call was closed; the reason says why. How many are still held. */
+        CALL_CLOSED,
+        /** The client may be gone. */
+        CLIENT_ABSENT,
+        /** It polls again. */
+        CLIENT_PRESENT,
+        /** The client is gone, or cancelled. */
+        CLIENT_GONE,
+        /** A statement was not written; the reason says why: attempt, engine. */
+        SEND_REFUSED,
         /** The thread was stalled: ms. */
         STALL
     }
 
+    private static final String NO_REASON = "";
+
     private static final Logger LOG = Logger.getLogger(FlightRecorder.class.getName());
 
     /** Some ten seconds of a manager in heavy traffic; 32 bytes each. */
@@ -46,6 +64,7 @@
     private final long[] timesNanos = new long[CAPACITY];
     private final EventType[] types = new EventType[CAPACITY];
     private final String[] requestIds = new String[CAPACITY];
+    private final String[] reasons = new String[CAPACITY];
     private final int[] firstFigures = new int[CAPACITY];
     private final int[] secondFigures = new int[CAPACITY];
     private long count;
@@ -53,12 +72,22 @@
 
     /** Keeps one event; {@code id} is null where it is not of a request. */
     public void record(EventType type, String id, long firstFigure, long secondFigure) {
+        record(type, id, NO_REASON, firstFigure, secondFigure);
+    }
+
+    /** Keeps one event and its reason. */
+    public void record(
+            EventType type, String id, String reason, long firstFigure, long secondFigure) {
         int slot = (int) (count++ % CAPACITY);
         timesNanos[slot] = System.nanoTime();
         types[slot] = type;
         requestIds[slot] = id;
+        reasons[slot] = reason;
         firstFigures[slot] = (int) firstFigure;
         secondFigures[slot] = (int) secondFigure;
+        if (LOG.isLoggable(Level.FINE)) {
+            LOG.fine("nanos=" + timesNanos[slot] + " " + describe(slot));
+        }
     }
 
     /** Writes the ring to the log, oldest first, in times before now. */
@@ -82,13 +111,23 @@
             int slot = (int) (i % CAPACITY);
             lines.add(
                     String.format(
-                            "%.1f %s %s %d %d",
+                            Locale.ROOT,
+                            "%.1f %s",
                             (timesNanos[slot] - now) / 1e6,
-                            types[slot],
-                            requestIds[slot] == null ? "-" : requestIds[slot],
-                            firstFigures[slot],
-                            secondFigures[slot]));
+                            describe(slot)));
         }
         return lines;
     }
+
+    private String describe(int slot) {
+        String event =
+                types[slot]
+                        + " "
+                        + (requestIds[slot] == null ? "-" : requestIds[slot])
+                        + " "
+                        + firstFigures[slot]
+                        + " "
+                        + secondFigures[slot];
+        return reasons[slot].isEmpty() ? event : event + " reason=" + reasons[slot];
+    }
 }
--- a/src/main/java/firstage/server/RequestRegistry.java
+++ b/src/main/java/firstage/server/RequestRegistry.java
@@ -111,7 +111,7 @@
     void onRequestEnded(End end, RequestExchange exchange) {
         counters.count(end.counter);
         openRequests--;
-        record(EventType.REQUEST_ENDED, exchange, 0, 0);
+        counters.recorder().record(EventType.REQUEST_ENDED, exchange.id, end.name(), 0, 0);
         if (exchange.orderingKey != null) {
             keyOrder.onRequestEnded(exchange.orderingKey, exchange.id);
         }
@@ -148,8 +148,6 @@
 
     private void record(
             EventType event, RequestExchange exchange, long firstFigure, long secondFigure) {
-        if (exchange.orderingKey != null) {
-            counters.recorder().record(event, exchange.id, firstFigure, secondFigure);
-        }
+        counters.recorder().record(event, exchange.id, firstFigure, secondFigure);
     }
 }
--- a/src/main/java/firstage/server/client/PendingCall.java
+++ b/src/main/java/firstage/server/client/PendingCall.java
@@ -2,6 +2,7 @@
 
 import firstage.lifecycle.ClientCallStateMachine;
 import firstage.server.Counters;
+import firstage.server.FlightRecorder.EventType;
 import firstage.server.RequestExchange;
 import firstage.server.ServerEvents;
 import firstage.server.TickClock;
@@ -93,6 +94,7 @@
     /** The client polls. */
     void poll(HttpServerExchange exchange) {
         heldCalls.add(new HeldCall(exchange));
+        record(EventType.POLLED, "");
         request.clientConnected();
         stateMachine.onPoll();
     }
@@ -122,8 +124,9 @@
             return exchange;
         }
 
-        void close() {
+        void close(String reason) {
             release();
+            record(EventType.CALL_CLOSED, reason);
             IoUtils.safeClose(connection);
             exchange.endExchange();
         }
@@ -136,20 +139,24 @@
             try (PooledByteBuffer pooled = connection.getByteBufferPool().allocate()) {
                 int bytesRead = connection.getOriginalSourceConduit().read(pooled.getBuffer());
                 if (bytesRead < 0) {
-                    onConnectionBroken(this);
+                    onConnectionBroken(this, "client closed");
                 } else if (bytesRead > 0) {
                     // The next call came before the answer to this one: that breaks the protocol.
                     responses.refuseAndClose(release(), 400, "one call at a time");
                     stateMachine.onClientCancelled();
                 }
             } catch (IOException exception) {
-                onConnectionBroken(this);
+                onConnectionBroken(this, "client reset");
             }
         }
     }
 
-    private void onConnectionBroken(HeldCall call) {
-        call.close();
+    private void record(EventType event, String reason) {
+        counters.recorder().record(event, id, reason, heldCalls.size(), 0);
+    }
+
+    private void onConnectionBroken(HeldCall call, String reason) {
+        call.close(reason);
         if (heldCalls.isEmpty()) {
             request.clientDisconnected(clock.now());
         }
@@ -166,6 +173,7 @@
     public void respondWithPollPath() {
         HttpServerExchange exchange = heldCalls.get(0).release();
         request.clientDisconnected(clock.now());
+        record(EventType.POLL_PATH_SENT, "");
         responses.send(
                 exchange,
                 ByteBuffer.wrap(
@@ -210,7 +218,7 @@
 
     @Override
     public void closeHeldCalls() {
-        List.copyOf(heldCalls).forEach(HeldCall::close);
+        List.copyOf(heldCalls).forEach(call -> call.close("request cancelled"));
     }
 
     @Override
@@ -221,17 +229,20 @@
     @Override
     public void markClientAbsent() {
         counters.count("clients absent");
+        record(EventType.CLIENT_ABSENT, "");
         events.onClientAbsence(request, true);
     }
 
     @Override
     public void markClientPresent() {
         counters.count("clients present again");
+        record(EventType.CLIENT_PRESENT, "");
         events.onClientAbsence(request, false);
     }
 
     @Override
     public void markClientGone() {
+        record(EventType.CLIENT_GONE, "");
         events.onClientGone(request);
     }
 
--- a/src/main/java/firstage/server/engine/AttemptRunner.java
+++ b/src/main/java/firstage/server/engine/AttemptRunner.java
@@ -78,9 +78,7 @@
     }
 
     private void record(EventType event, int figure) {
-        if (exchange.orderingKey != null) {
-            context.counters().recorder().record(event, exchange.id, number, figure);
-        }
+        context.counters().recorder().record(event, exchange.id, number, figure);
     }
 
     private void countUnreadable() {
