One guard for every send: what is known of the client is renewed before it

Callers saw: requests sent up to 0.4 s after their clients had closed. Cause: after a pause of the process the timers run before what arrived in it is read. A first call whose client had closed was answered with a path, which gave the client another 50 ms; an engine that became ready in them got the statement. A flag set by events was all that the send looked at, however old. Change: SendGuard decides at the instant the bytes go out, by the client's own connection, read just then, and by when all that had arrived was read (ReadBarrier.readAsOf, 50 ms at most, else it is renewed); also for the rest of a statement that waits for a socket's buffer, which then is never whole at the engine. ActionGuard runs timeouts that end or repeat something after a barrier. A client that closes the connection on which it got its path is absent at once. XNIO's listener accepts nothing for 0.25 s and longer after a failed accept, so a cancellation lay unread: connections are accepted by our own handle, tried again after 5 ms, and no barrier is passed meanwhile. DepartureMonitor counts violations by the earliest moment at which the client can have left, known from the read, in place of the counter of statements sent late, which counted from when the program learnt of it.

--- a/src/main/java/firstage/lifecycle/AttemptTransitions.java
+++ b/src/main/java/firstage/lifecycle/AttemptTransitions.java
@@ -111,6 +111,10 @@
                 Action.DELETE,
                 AttemptOutcome.FAILED);
         on(State.SENT, Event.ABANDON, State.ABANDONING_UNACKNOWLEDGED, Action.DELETE);
+        // Not written to its end: the engine never began it.
+        on(State.SENT, Event.NOT_SENT, State.ENDED, Action.END_PROVEN, AttemptOutcome.NOT_SENT);
+        on(State.ABANDONING_UNACKNOWLEDGED, Event.NOT_SENT, State.ENDED, Action.END_PROVEN);
+        on(State.LINGERING_UNACKNOWLEDGED, Event.NOT_SENT, State.ENDED, Action.END_PROVEN);
         // Its answer was lost. The statement may lie unread: that the engine does not know it
         // proves
         // nothing.
--- a/src/main/java/firstage/lifecycle/ClientCallStateMachine.java
+++ b/src/main/java/firstage/lifecycle/ClientCallStateMachine.java
@@ -95,6 +95,7 @@
         POLL,
         ANSWER_AVAILABLE,
         FIRST_CALL_BROKEN,
+        PATH_CONNECTION_CLOSED,
         LAST_POLL_BROKEN,
         CLIENT_CANCELLED
     }
@@ -169,6 +170,13 @@
                 State.CLIENT_ABSENT,
                 Action.START_REMAINING_RECONNECT_TIMEOUT,
                 Action.MARK_CLIENT_ABSENT);
+        // The connection on which it has its path, and on which it polls.
+        transition(
+                State.POLL_PATH_SENT,
+                Event.PATH_CONNECTION_CLOSED,
+                State.CLIENT_ABSENT,
+                Action.START_RECONNECT_TIMEOUT,
+                Action.MARK_CLIENT_ABSENT);
         transition(
                 State.POLL_PATH_SENT,
                 Event.CLIENT_CANCELLED,
@@ -286,6 +294,11 @@
         handle(Event.FIRST_CALL_BROKEN);
     }
 
+    /** The connection on which the path was sent ended, and no poll had come. */
+    public void onPathConnectionClosed() {
+        handle(Event.PATH_CONNECTION_CLOSED);
+    }
+
     /** The connection of a poll broke, and no other poll is held. */
     public void onLastPollBroken() {
         handle(Event.LAST_POLL_BROKEN);
--- a/src/main/java/firstage/server/FleetControl.java
+++ b/src/main/java/firstage/server/FleetControl.java
@@ -26,11 +26,6 @@
     /** Ends its connections. */
     default void close() {}
 
-    /** Ticks for which the process may have been paused before now; 0 where it surely ran. */
-    default long recentPause() {
-        return 0;
-    }
-
     /** Asked before each evaluation: a lease may have ended while the process was paused. */
     default void updateQuotaShare() {}
 
--- a/src/main/java/firstage/server/ManagerServer.java
+++ b/src/main/java/firstage/server/ManagerServer.java
@@ -37,6 +37,7 @@
     private final XnioWorker worker;
     private final XnioIoThread io;
     private final ReadBarrier barrier;
+    private final ActionGuard guard;
     private final EngineClients engines;
     private final ClientHandler clientHandler;
     private final EndpointWatcher endpointWatcher;
@@ -57,11 +58,12 @@
         this.config = config;
         worker = createWorker();
         io = worker.getIoThread();
-        barrier = new ReadBarrier(io, counters);
-        engines = new EngineClients(io, clock, counters, this, config);
-        clientHandler = new ClientHandler(io, clock, counters, this, config);
+        barrier = new ReadBarrier(io, clock, counters);
+        guard = new ActionGuard(io, clock, counters, barrier);
+        engines = new EngineClients(io, clock, counters, this, guard, config);
+        clientHandler = new ClientHandler(io, clock, counters, this, guard, config);
         endpointWatcher = new EndpointWatcher(io, clock, counters, this, config);
-        loop = new SchedulerLoop(io, clock, counters, barrier, endpointWatcher::isConfirmed);
+        loop = new SchedulerLoop(io, clock, counters, guard, endpointWatcher::isConfirmed);
         requests = new RequestRegistry(clock, counters);
         requestEvents = new RequestEventHandler(clock, barrier, loop, requests);
         directory = new EngineDirectory(clock, counters, loop, engines);
@@ -104,11 +106,13 @@
      * @throws IOException where the address is taken; may be called again
      */
     public void start() throws IOException {
-        clientHandler.listen(worker);
+        guard.onBeforeListen();
+        clientHandler.listen();
         fleet.listen(worker);
         io.execute(
                 () -> {
-                    barrier.start();
+                    barrier.start(clientHandler::isAcceptFailing);
+                    guard.start();
                     fleet.start();
                     endpointWatcher.follow(config);
                     clientHandler.accept();
@@ -130,6 +134,11 @@
                 });
     }
 
+    /** Logs the counters (SIGUSR2). From any thread. */
+    public void logCounters() {
+        io.execute(() -> LOG.info(() -> "counters " + counters));
+    }
+
     /**
      * Shuts down (SIGTERM): serves on while the front still sends, answers all that was accepted,
      * then ends the program. From any thread.
@@ -167,11 +176,6 @@
         directory.release(engine);
     }
 
-    @Override
-    public long recentPause() {
-        return fleet.recentPause();
-    }
-
     @Override
     public void onRequest(
             RequestExchange exchange,
--- a/src/main/java/firstage/server/PeerFleetControl.java
+++ b/src/main/java/firstage/server/PeerFleetControl.java
@@ -73,11 +73,6 @@
         membership.close();
     }
 
-    @Override
-    public long recentPause() {
-        return membership.pauseDuration();
-    }
-
     @Override
     public void updateQuotaShare() {
         if (membership.share() != quotaShare) {
--- a/src/main/java/firstage/server/ReadBarrier.java
+++ b/src/main/java/firstage/server/ReadBarrier.java
@@ -5,6 +5,8 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.logging.Logger;
 import org.xnio.ChannelPipe;
 import org.xnio.IoUtils;
@@ -24,20 +26,30 @@
     private static final Logger LOG = Logger.getLogger(ReadBarrier.class.getName());
     private static final int SELECTOR_PASSES = 2;
 
+    /** Between passes while connections can't be accepted, or the pipe can't be opened. */
+    private static final int RETRY_MS = 5;
+
+    /** What waits is called after this even where connections can't be accepted, in ticks. */
+    private static final long MAX_ACCEPT_WAIT = 1_000;
+
     private static final class Waiter {
         private final Runnable callback;
+        private final long requestedAt;
         private int passesLeft = SELECTOR_PASSES;
 
-        private Waiter(Runnable callback) {
+        private Waiter(Runnable callback, long requestedAt) {
             this.callback = callback;
+            this.requestedAt = requestedAt;
         }
     }
 
     private final XnioIoThread io;
+    private final TickClock clock;
     private final Counters counters;
-    private final StreamConnection wakeUpReader;
-    private final StreamConnection wakeUpWriter;
     private final ByteBuffer wakeUpByte = ByteBuffer.allocate(1);
+    private StreamConnection wakeUpReader;
+    private StreamConnection wakeUpWriter;
+    private BooleanSupplier acceptsFail = () -> false;
 
     /**
      * Waiters that the pass under way counts for; those that came since it began are in the next.
@@ -46,25 +58,47 @@
 
     private final ArrayDeque<Waiter> nextPass = new ArrayDeque<>();
     private boolean passInProgress;
+    private boolean closed;
+    private long readAsOf = Long.MIN_VALUE / 2;
 
-    public ReadBarrier(XnioIoThread io, Counters counters) throws IOException {
+    public ReadBarrier(XnioIoThread io, TickClock clock, Counters counters) throws IOException {
         this.io = io;
+        this.clock = clock;
         this.counters = counters;
+        openPipe();
+    }
+
+    private void openPipe() throws IOException {
         ChannelPipe<StreamConnection, StreamConnection> pipe =
                 io.createFullDuplexPipeConnection(io);
         wakeUpWriter = pipe.getLeftSide();
         wakeUpReader = pipe.getRightSide();
     }
 
-    /** Begins; on the I/O thread. */
-    public void start() {
+    /**
+     * Begins; on the I/O thread.
+     *
+     * @param acceptsFail whether connections wait that can't be accepted for the moment: what came
+     *     on them is not read
+     */
+    public void start(BooleanSupplier acceptsFail) {
+        this.acceptsFail = acceptsFail;
+        listen();
+    }
+
+    private void listen() {
         wakeUpReader.getSourceChannel().setReadListener(this::onWakeUp);
         wakeUpReader.getSourceChannel().resumeReads();
     }
 
+    /** All that had arrived at this moment has been read and its events are handled; in ticks. */
+    long readAsOf() {
+        return readAsOf;
+    }
+
     /** Calls back once all that has arrived until now is read, and its events are handled. */
     public void runAfterPendingReads(Runnable callback) {
-        nextPass.add(new Waiter(callback));
+        nextPass.add(new Waiter(callback, clock.now()));
         if (!passInProgress) {
             startPass();
         }
@@ -76,19 +110,27 @@
         passInProgress = !currentPass.isEmpty();
         if (passInProgress) {
             counters.count("read barrier passes");
-            try {
-                wakeUpByte.clear();
-                wakeUpWriter.getSinkChannel().write(wakeUpByte);
-            } catch (IOException exception) {
-                onPipeBroken(exception);
-            }
+            writeWakeUp();
+        }
+    }
+
+    private void writeWakeUp() {
+        try {
+            wakeUpByte.clear();
+            wakeUpWriter.getSinkChannel().write(wakeUpByte);
+        } catch (IOException exception) {
+            onPipeBroken(exception);
         }
     }
 
     private void onWakeUp(ConduitStreamSourceChannel source) {
         try {
             wakeUpByte.clear();
-            if (source.read(wakeUpByte) > 0) {
+            int bytesRead = source.read(wakeUpByte);
+            if (bytesRead < 0) {
+                throw new IOException("end of the pipe");
+            }
+            if (bytesRead > 0) {
                 // The rest of what this pass found is read first.
                 io.execute(this::finishPass);
             }
@@ -98,31 +140,57 @@
     }
 
     private void finishPass() {
+        boolean allRead = !acceptsFail.getAsBoolean();
         List<Waiter> done = currentPass;
         currentPass = new ArrayList<>();
         for (Waiter waiter : done) {
-            if (--waiter.passesLeft > 0) {
+            waiter.passesLeft -= allRead ? 1 : 0;
+            if (waiter.passesLeft > 0 && !isOverdue(waiter, allRead)) {
                 currentPass.add(waiter);
             }
         }
-        startPass();
-        done.stream()
-                .filter(waiter -> waiter.passesLeft <= 0)
-                .forEach(waiter -> waiter.callback.run());
+        done.removeAll(currentPass);
+        if (allRead) {
+            done.forEach(waiter -> readAsOf = Math.max(readAsOf, waiter.requestedAt));
+            startPass();
+        } else {
+            io.executeAfter(this::startPass, RETRY_MS, TimeUnit.MILLISECONDS);
+        }
+        done.forEach(waiter -> waiter.callback.run());
+    }
+
+    private boolean isOverdue(Waiter waiter, boolean allRead) {
+        return !allRead && clock.now() - waiter.requestedAt > MAX_ACCEPT_WAIT;
     }
 
-    /** Without the pipe no barrier is ever passed; requests must not wait for it. */
+    /** Without the pipe no barrier is ever passed: another is opened. */
     private void onPipeBroken(IOException exception) {
         LOG.severe("read barrier broken cause=" + exception);
-        counters.count("unexpected exceptions");
-        List<Waiter> done = currentPass;
-        currentPass = new ArrayList<>();
-        passInProgress = false;
-        done.forEach(waiter -> io.execute(waiter.callback));
+        counters.count("read barriers broken");
+        closePipe();
+        io.executeAfter(this::reopenPipe, RETRY_MS, TimeUnit.MILLISECONDS);
     }
 
-    public void close() {
+    private void reopenPipe() {
+        if (closed) {
+            return;
+        }
+        try {
+            openPipe();
+            listen();
+            writeWakeUp();
+        } catch (IOException exception) {
+            onPipeBroken(exception);
+        }
+    }
+
+    private void closePipe() {
         IoUtils.safeClose(wakeUpWriter);
         IoUtils.safeClose(wakeUpReader);
     }
+
+    public void close() {
+        closed = true;
+        closePipe();
+    }
 }
--- a/src/main/java/firstage/server/RequestEventHandler.java
+++ b/src/main/java/firstage/server/RequestEventHandler.java
@@ -113,7 +113,6 @@
             return;
         }
         exchange.clientGone();
-        exchange.clientDisconnected(clock.now());
         requests.onRequestEnded(RequestRegistry.End.CLIENT_GONE, exchange);
         reportClientGone("left", exchange);
         exchange.abandonAttempts(AttemptOutcome.CANCELLED);
--- a/src/main/java/firstage/server/RequestExchange.java
+++ b/src/main/java/firstage/server/RequestExchange.java
@@ -1,5 +1,6 @@
 package firstage.server;
 
+import firstage.lifecycle.DepartureMonitor;
 import firstage.policy.api.AttemptOutcome;
 import java.util.ArrayList;
 import java.util.List;
@@ -19,6 +20,17 @@
         void respondFailed();
     }
 
+    /** Knows whether the client is there. */
+    public interface ClientPresence {
+        /**
+         * Reads what lies unread on the client's connection, so that an end of it is known.
+         *
+         * @return when the client was last known to be there: {@code now} while it waits for an
+         *     answer on a connection that is open
+         */
+        long confirm(long now);
+    }
+
     /** An attempt in flight. */
     public interface AttemptHandle {
         int number();
@@ -59,10 +71,11 @@
     /** Its client may be gone: nothing new is to be sent for it. */
     public boolean clientAbsent;
 
-    /** Since when its client has no connection to this manager; below 0 while it has one. */
-    private long disconnectedSince = -1;
+    /** Checks that nothing is sent for a client that left. */
+    final DepartureMonitor departures = new DepartureMonitor();
 
     private final ResponseActions response;
+    private final ClientPresence client;
     private boolean settled;
 
     public RequestExchange(
@@ -70,12 +83,14 @@
             String trafficClass,
             byte[] statement,
             long deadline,
-            ResponseActions response) {
+            ResponseActions response,
+            ClientPresence client) {
         this.id = id;
         this.trafficClass = trafficClass;
         this.statement = statement;
         this.deadline = deadline;
         this.response = response;
+        this.client = client;
     }
 
     /** Abandons all attempts in flight; each ends with this outcome. */
@@ -90,19 +105,14 @@
         return settled;
     }
 
-    /** The client has no connection any more; the first time counts. */
-    public void clientDisconnected(long now) {
-        disconnectedSince = disconnectedSince < 0 ? now : disconnectedSince;
-    }
-
-    /** The client has a connection again. */
-    public void clientConnected() {
-        disconnectedSince = -1;
+    /** The client polls: it has not left. */
+    public void onClientReturned() {
+        departures.onClientReturned();
     }
 
-    /** How long the client has had no connection; 0 while it has one. */
-    public long disconnectedFor(long now) {
-        return disconnectedSince < 0 ? 0 : now - disconnectedSince;
+    /** Reads what its client's connection holds; returns when the client was last known there. */
+    long confirmClient(long now) {
+        return client.confirm(now);
     }
 
     /** The client left: it is owed no answer. */
--- a/src/main/java/firstage/server/SchedulerLoop.java
+++ b/src/main/java/firstage/server/SchedulerLoop.java
@@ -24,7 +24,7 @@
     private final XnioIoThread io;
     private final TickClock clock;
     private final Counters counters;
-    private final ReadBarrier barrier;
+    private final ActionGuard guard;
     private final BooleanSupplier mayAct;
     private SchedulingPolicy scheduler;
     private Runnable beforeEvaluation;
@@ -39,12 +39,12 @@
             XnioIoThread io,
             TickClock clock,
             Counters counters,
-            ReadBarrier barrier,
+            ActionGuard guard,
             BooleanSupplier mayAct) {
         this.io = io;
         this.clock = clock;
         this.counters = counters;
-        this.barrier = barrier;
+        this.guard = guard;
         this.mayAct = mayAct;
     }
 
@@ -78,12 +78,13 @@
             io.execute(
                     () -> {
                         stalled |= recordDelay("max evaluation delay, us", dueNanos);
+                        stalled |= guard.isCatchingUp();
                         if (stalled) {
                             // What arrived meanwhile is read first: nothing must be sent for a
                             // client that left in that time.
                             counters.count("stalls");
                             stalled = false;
-                            barrier.runAfterPendingReads(this::runScheduler);
+                            guard.runAfterPendingReads(this::runScheduler);
                         } else {
                             runScheduler();
                         }
--- a/src/main/java/firstage/server/ServerEvents.java
+++ b/src/main/java/firstage/server/ServerEvents.java
@@ -28,12 +28,6 @@
             int memoryMb,
             int tableGroup);
 
-    /**
-     * How long the process may have been paused before now; 0 where it surely ran, or that is
-     * unknown.
-     */
-    long recentPause();
-
     /** The client left, or cancelled. */
     void onClientGone(RequestExchange exchange);
 
--- a/src/main/java/firstage/server/client/ClientConnections.java
+++ b/src/main/java/firstage/server/client/ClientConnections.java
@@ -41,6 +41,9 @@
 
     private final Map<StreamConnection, Long> idleSinceMs = new LinkedHashMap<>();
 
+    /** What is called when a connection closes; at most one a connection. */
+    private final Map<StreamConnection, Runnable> closeListeners = new HashMap<>();
+
     ClientConnections(XnioIoThread io, Counters counters, int limit) {
         this.io = io;
         this.counters = counters;
@@ -98,6 +101,20 @@
         openedAtMs.remove(connection);
         silentSinceMs.remove(connection);
         idleSinceMs.remove(connection);
+        Runnable listener = closeListeners.remove(connection);
+        if (listener != null) {
+            listener.run();
+        }
+    }
+
+    /** Calls back once, when the connection closes; replaces what was to be called before. */
+    void onClose(StreamConnection connection, Runnable listener) {
+        closeListeners.put(connection, listener);
+    }
+
+    /** Does not call back. */
+    void removeCloseListener(StreamConnection connection) {
+        closeListeners.remove(connection);
     }
 
     /** Closes the connection that was silent longest. */
@@ -124,9 +141,14 @@
     private static boolean isStillSilent(
             StreamConnection connection, Map<StreamConnection, Long> candidates) {
         Long since = candidates.get(connection);
+        readPending(connection);
+        return since != null && since.equals(candidates.get(connection));
+    }
+
+    /** Reads what lies unread, as if the selector had found it. */
+    static void readPending(StreamConnection connection) {
         ConduitStreamSourceChannel source = connection.getSourceChannel();
         ChannelListeners.invokeChannelListener(source, source.getReadListener());
-        return since != null && since.equals(candidates.get(connection));
     }
 
     private void close(StreamConnection connection) {
--- a/src/main/java/firstage/server/client/ClientHandler.java
+++ b/src/main/java/firstage/server/client/ClientHandler.java
@@ -1,6 +1,7 @@
 package firstage.server.client;
 
 import firstage.config.ManagerConfig;
+import firstage.server.ActionGuard;
 import firstage.server.Counters;
 import firstage.server.RequestExchange;
 import firstage.server.ServerEvents;
@@ -16,16 +17,15 @@
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.SocketChannel;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Logger;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
-import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
-import org.xnio.XnioWorker;
-import org.xnio.channels.AcceptingChannel;
 import org.xnio.nio.IoThreadTcpServer;
 
 /**
@@ -33,6 +33,7 @@
  * and hands accepted requests on as events. Owned by the I/O thread.
  */
 public final class ClientHandler {
+    private static final Logger LOG = Logger.getLogger(ClientHandler.class.getName());
     private static final int MAX_STATEMENT_BYTES = 64 * 1024;
 
     /** Answered 431; a head of more than four times that is answered as no HTTP. */
@@ -40,8 +41,8 @@
 
     private static final int ACCEPT_BACKLOG = 512;
 
-    /** Accepted by XNIO, and not handed over yet. */
-    private static final int ACCEPT_MARGIN = 8;
+    /** Between tries to accept what waits, where the system can't for the moment. */
+    private static final int ACCEPT_RETRY_MS = 5;
 
     /** From the end of its head to the end of a statement. */
     private static final int MAX_BODY_READ_MS = 2_000;
@@ -53,14 +54,18 @@
     private final TickClock clock;
     private final Counters counters;
     private final ServerEvents events;
+    private final ActionGuard guard;
     private final InetSocketAddress listenAddress;
-    private final int maxConnections;
     private final ClientConnections connections;
     private final ClientResponses responses;
     private final PendingCalls pendingCalls;
     private final TrafficClasses trafficClasses;
     private final StatementCallValidator validator;
-    private AcceptingChannel<StreamConnection> listener;
+    private IoThreadTcpServer listener;
+
+    /** Connections wait that could not be accepted for the moment. */
+    private boolean acceptFailing;
+
     private HttpOpenListener httpListener;
 
     public ClientHandler(
@@ -68,14 +73,15 @@
             TickClock clock,
             Counters counters,
             ServerEvents events,
+            ActionGuard guard,
             ManagerConfig config) {
         this.io = io;
         this.clock = clock;
         this.counters = counters;
         this.events = events;
+        this.guard = guard;
         this.listenAddress = config.listenAddress();
-        maxConnections = config.maxClientConnections();
-        connections = new ClientConnections(io, counters, maxConnections);
+        connections = new ClientConnections(io, counters, config.maxClientConnections());
         responses = new ClientResponses(io, clock, counters, connections);
         pendingCalls = new PendingCalls(counters, config.maxClientBytes());
         trafficClasses = new TrafficClasses(config.settings(), StatementCallValidator.MAX_ESTIMATE);
@@ -87,7 +93,7 @@
      *
      * @throws IOException where the address is taken
      */
-    public void listen(XnioWorker worker) throws IOException {
+    public void listen() throws IOException {
         ByteBufferPool bufferPool = new DefaultByteBufferPool(true, 16 * 1024, 256, 0);
         httpListener =
                 new HttpOpenListener(
@@ -98,20 +104,7 @@
                                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
                                 .getMap());
         httpListener.setRootHandler(new HttpContinueReadHandler(this::handle));
-        listener =
-                IoThreadTcpServer.listen(
-                        worker,
-                        listenAddress,
-                        this::acceptPending,
-                        OptionMap.builder()
-                                .set(Options.REUSE_ADDRESSES, true)
-                                .set(Options.BACKLOG, ACCEPT_BACKLOG)
-                                .set(Options.CONNECTION_HIGH_WATER, maxConnections + ACCEPT_MARGIN)
-                                .set(
-                                        Options.CONNECTION_LOW_WATER,
-                                        maxConnections + ACCEPT_MARGIN - 1)
-                                .set(Options.TCP_NODELAY, true)
-                                .getMap());
+        listener = IoThreadTcpServer.listen(io, listenAddress, ACCEPT_BACKLOG, this::acceptPending);
     }
 
     /** Accepts connections from here on; on the I/O thread. */
@@ -122,16 +115,42 @@
     }
 
     /**
-     * Accepts all connections that wait: XNIO's own listener accepts one a selector pass, and a
-     * request on the others would be read passes later.
+     * Accepts all connections that wait: else a request on the others would be read passes later.
+     * Where the system can't, for the moment, they are tried again.
      */
-    private void acceptPending(AcceptingChannel<StreamConnection> from) {
+    private void acceptPending() {
+        if (!listener.isOpen()) {
+            acceptFailing = false;
+            return;
+        }
         try {
-            for (StreamConnection next = from.accept(); next != null; next = from.accept()) {
-                onConnectionOpened(next);
+            for (SocketChannel next = listener.accept(); next != null; next = listener.accept()) {
+                register(next);
+            }
+            if (acceptFailing) {
+                acceptFailing = false;
+                listener.resumeAccepts();
             }
         } catch (IOException exception) {
+            LOG.warning("connection not accepted cause=" + exception.getMessage());
             counters.count("connections not accepted");
+            acceptFailing = true;
+            listener.suspendAccepts();
+            io.executeAfter(this::acceptPending, ACCEPT_RETRY_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Whether connections wait that can't be accepted for the moment. */
+    public boolean isAcceptFailing() {
+        return acceptFailing;
+    }
+
+    private void register(SocketChannel accepted) {
+        try {
+            onConnectionOpened(listener.register(accepted));
+        } catch (IOException exception) {
+            LOG.warning("connection ended as it was accepted cause=" + exception.getMessage());
+            counters.count("connections ended as they were accepted");
         }
     }
 
@@ -153,22 +172,18 @@
         responses.closing(now);
         // A request on a connection that the kernel accepted is ours, also where the thread had no
         // time for it yet.
-        acceptPending(listener);
+        acceptPending();
     }
 
     /** Accepts no more connections; what comes on the open ones is answered still. */
     public void close() {
-        if (listener.isOpen()) {
-            acceptPending(listener);
-            IoUtils.safeClose(listener);
-        }
+        acceptPending();
+        IoUtils.safeClose(listener);
     }
 
     /** Whether all accepted requests are answered, and the answers are written. */
     public boolean isIdle() {
-        // Asked first, whatever comes next: it also closes writes that stall.
-        boolean written = responses.isIdle();
-        return pendingCalls.allAnswered() && written;
+        return pendingCalls.allAnswered() && responses.isIdle();
     }
 
     private void handle(HttpServerExchange exchange) {
@@ -270,7 +285,6 @@
 
     private void handleStatement(
             HttpServerExchange exchange, String trafficClass, byte[] statement) {
-        long now = clock.now();
         if (ClientProtocol.isPipelined(exchange)) {
             responses.refuseAndClose(exchange, 400, "one call at a time");
             return;
@@ -284,27 +298,31 @@
             exchange.getResponseHeaders().put(ClientProtocol.RETRY_AFTER_MS, BUSY_RETRY_AFTER_MS);
             responses.refuse(exchange, 503, "Busy");
         } else {
-            accept(exchange, call, now);
+            accept(exchange, call);
         }
     }
 
-    private void accept(HttpServerExchange exchange, StatementCall call, long now) {
+    private void accept(HttpServerExchange exchange, StatementCall call) {
         PendingCall pending =
                 new PendingCall(
-                        io,
                         clock,
                         counters,
                         events,
+                        guard,
+                        connections,
                         responses,
                         pendingCalls,
                         call.requestId(),
                         pendingCalls.newPollPath(call.requestId()));
-        // What lay unread while the process was paused has that much less time: counted from when
-        // it is read, its answer would come after its client has gone.
-        long deadline = now + (long) (call.timeoutMs() * 10) - events.recentPause();
+        long deadline = clock.now() + (long) (call.timeoutMs() * 10);
         RequestExchange request =
                 new RequestExchange(
-                        call.requestId(), call.trafficClass(), call.statement(), deadline, pending);
+                        call.requestId(),
+                        call.trafficClass(),
+                        call.statement(),
+                        deadline,
+                        pending,
+                        pending);
         request.connectionAgeMs = connections.ageMs(ClientProtocol.connectionOf(exchange));
         pendingCalls.add(pending, call.statement().length);
         pending.start(request, exchange);
--- a/src/main/java/firstage/server/client/PendingCall.java
+++ b/src/main/java/firstage/server/client/PendingCall.java
@@ -1,6 +1,7 @@
 package firstage.server.client;
 
 import firstage.lifecycle.ClientCallStateMachine;
+import firstage.server.ActionGuard;
 import firstage.server.Counters;
 import firstage.server.FlightRecorder.EventType;
 import firstage.server.RequestExchange;
@@ -15,10 +16,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
-import org.xnio.XnioIoThread;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
@@ -27,7 +27,9 @@
  * cancels closes it. Owned by the I/O thread.
  */
 final class PendingCall
-        implements RequestExchange.ResponseActions, ClientCallStateMachine.ClientCallActions {
+        implements RequestExchange.ResponseActions,
+                RequestExchange.ClientPresence,
+                ClientCallStateMachine.ClientCallActions {
     private static final byte[] FAILED_BODY =
             "{\"err\":\"Failed\"}\n".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] BUSY_BODY =
@@ -35,10 +37,13 @@
 
     private record Answer(int status, long retryAfter, ByteBuffer body) {}
 
-    private final XnioIoThread io;
+    private static final Answer FAILED = new Answer(500, 0, ByteBuffer.wrap(FAILED_BODY));
+
     private final TickClock clock;
     private final Counters counters;
     private final ServerEvents events;
+    private final ActionGuard guard;
+    private final ClientConnections connections;
     private final ClientResponses responses;
     private final PendingCalls pendingCalls;
     private final String id;
@@ -49,23 +54,29 @@
     /** The calls that are held: one, unless the client lost a connection and called on another. */
     private final List<HeldCall> heldCalls = new ArrayList<>();
 
+    /** Where the path was sent, until the client polls; null else. */
+    private StreamConnection pathConnection;
+
+    private long pathSentAt;
     private Answer answer;
     private boolean answerSent;
     private XnioExecutor.Key timer;
 
     PendingCall(
-            XnioIoThread io,
             TickClock clock,
             Counters counters,
             ServerEvents events,
+            ActionGuard guard,
+            ClientConnections connections,
             ClientResponses responses,
             PendingCalls pendingCalls,
             String id,
             String path) {
-        this.io = io;
         this.clock = clock;
         this.counters = counters;
         this.events = events;
+        this.guard = guard;
+        this.connections = connections;
         this.responses = responses;
         this.pendingCalls = pendingCalls;
         this.id = id;
@@ -93,14 +104,16 @@
 
     /** The client polls. */
     void poll(HttpServerExchange exchange) {
+        forgetPathConnection();
         heldCalls.add(new HeldCall(exchange));
         record(EventType.POLLED, "");
-        request.clientConnected();
+        request.onClientReturned();
         stateMachine.onPoll();
     }
 
     /** The client cancels by a DELETE of the path. */
     void cancel() {
+        guard.onClientLeft(request);
         stateMachine.onClientCancelled();
     }
 
@@ -136,6 +149,11 @@
         }
 
         private void onReadable(ConduitStreamSourceChannel source) {
+            readPending();
+        }
+
+        /** Reads what lies unread: the end of the connection, or a call that must not come. */
+        void readPending() {
             try (PooledByteBuffer pooled = connection.getByteBufferPool().allocate()) {
                 int bytesRead = connection.getOriginalSourceConduit().read(pooled.getBuffer());
                 if (bytesRead < 0) {
@@ -143,6 +161,7 @@
                 } else if (bytesRead > 0) {
                     // The next call came before the answer to this one: that breaks the protocol.
                     responses.refuseAndClose(release(), 400, "one call at a time");
+                    guard.onClientLeft(request);
                     stateMachine.onClientCancelled();
                 }
             } catch (IOException exception) {
@@ -158,7 +177,7 @@
     private void onConnectionBroken(HeldCall call, String reason) {
         call.close(reason);
         if (heldCalls.isEmpty()) {
-            request.clientDisconnected(clock.now());
+            guard.onClientLeft(request);
         }
         if (!call.isPoll()) {
             stateMachine.onFirstCallBroken();
@@ -168,11 +187,41 @@
         }
     }
 
+    @Override
+    public long confirm(long now) {
+        readPending();
+        return heldCalls.isEmpty() ? pathSentAt : now;
+    }
+
+    /** Reads what lies unread on the connections on which the client calls or will call. */
+    private void readPending() {
+        List.copyOf(heldCalls).forEach(HeldCall::readPending);
+        if (pathConnection != null) {
+            ClientConnections.readPending(pathConnection);
+        }
+    }
+
+    private void onPathConnectionClosed() {
+        pathConnection = null;
+        record(EventType.CALL_CLOSED, "client closed after its path");
+        guard.onClientLeft(request);
+        stateMachine.onPathConnectionClosed();
+    }
+
+    private void forgetPathConnection() {
+        if (pathConnection != null) {
+            connections.removeCloseListener(pathConnection);
+            pathConnection = null;
+        }
+    }
+
     // ---- Actions of the state machine.
     @Override
     public void respondWithPollPath() {
         HttpServerExchange exchange = heldCalls.get(0).release();
-        request.clientDisconnected(clock.now());
+        pathSentAt = clock.now();
+        pathConnection = ClientProtocol.connectionOf(exchange);
+        connections.onClose(pathConnection, this::onPathConnectionClosed);
         record(EventType.POLL_PATH_SENT, "");
         responses.send(
                 exchange,
@@ -191,21 +240,34 @@
 
     private void answerHeldCalls(Answer response, boolean keepAlive) {
         for (HeldCall call : List.copyOf(heldCalls)) {
-            HttpServerExchange exchange = call.release();
-            if (response.retryAfter() > 0) {
-                exchange.getResponseHeaders()
-                        .put(ClientProtocol.RETRY_AFTER_MS, response.retryAfter() / 10);
-            }
-            exchange.setStatusCode(response.status());
-            exchange.setPersistent(exchange.isPersistent() && keepAlive);
-            responses.send(exchange, response.body().duplicate());
+            respond(call, response, keepAlive);
         }
     }
 
+    private void respond(HeldCall call, Answer response, boolean keepAlive) {
+        HttpServerExchange exchange = call.release();
+        if (response.retryAfter() > 0) {
+            exchange.getResponseHeaders()
+                    .put(ClientProtocol.RETRY_AFTER_MS, response.retryAfter() / 10);
+        }
+        exchange.setStatusCode(response.status());
+        exchange.setPersistent(exchange.isPersistent() && keepAlive);
+        responses.send(exchange, response.body().duplicate());
+    }
+
     @Override
     public void startTimer(long delay) {
         stopTimer();
-        timer = io.executeAfter(stateMachine::onTimeout, delay / 10, TimeUnit.MILLISECONDS);
+        timer = guard.executeAfter(delay / 10, this::onTimeout);
+    }
+
+    /** The client's own connection is read first: nothing else may come between. */
+    private void onTimeout() {
+        XnioExecutor.Key elapsed = timer;
+        readPending();
+        if (timer == elapsed) {
+            stateMachine.onTimeout();
+        }
     }
 
     @Override
@@ -223,7 +285,7 @@
 
     @Override
     public void failHeldCalls() {
-        answerHeldCalls(new Answer(500, 0, ByteBuffer.wrap(FAILED_BODY)), false);
+        answerHeldCalls(FAILED, false);
     }
 
     @Override
@@ -248,6 +310,7 @@
 
     @Override
     public void release() {
+        forgetPathConnection();
         pendingCalls.release(this, answerSent);
     }
 
@@ -264,7 +327,7 @@
 
     @Override
     public void respondFailed() {
-        answer(new Answer(500, 0, ByteBuffer.wrap(FAILED_BODY)));
+        answer(FAILED);
     }
 
     private void answer(Answer newAnswer) {
--- a/src/main/java/firstage/server/engine/AttemptRunner.java
+++ b/src/main/java/firstage/server/engine/AttemptRunner.java
@@ -3,6 +3,9 @@
 import firstage.lifecycle.AttemptStateMachine;
 import firstage.lifecycle.AttemptStateMachine.CallFailure;
 import firstage.lifecycle.AttemptStateMachine.EngineReply;
+import firstage.lifecycle.SendGuard;
+import firstage.lifecycle.SendGuard.Knowledge;
+import firstage.lifecycle.SendGuard.Verdict;
 import firstage.policy.api.AttemptOutcome;
 import firstage.policy.api.LoadReport;
 import firstage.server.FlightRecorder.EventType;
@@ -25,9 +28,6 @@
 
     private static final long DELETE_TIMEOUT_MS = 200;
 
-    /** No statement may be sent so long after its client left; only for the counter, in ticks. */
-    private static final long LATE_SEND_THRESHOLD = 1_000;
-
     private final EngineClients engines;
     private final EngineContext context;
     private final EngineConnectionPool pool;
@@ -38,6 +38,13 @@
     private final AttemptStateMachine stateMachine;
     private final ResultPages pages = new ResultPages();
     private boolean countedAsRunning;
+
+    /** When the statement's head was made, with the time that the client has left. */
+    private long headMadeAt;
+
+    /** What the last verdict on its sending was based on; null before. */
+    private Knowledge knowledge;
+
     private long duration;
     private int priority;
     private LoadReport loadReport;
@@ -102,12 +109,20 @@
         pool.startCall(
                 new EngineCall(EngineProtocol.post(), exchange.statement, POLL_TIMEOUT_MS) {
                     @Override
-                    boolean shouldSend() {
-                        // An engine may begin to drain, or the client leave, while the connection
-                        // comes up.
-                        return stateMachine.shouldSendStatement()
-                                && !pool.isDraining()
-                                && !exchange.clientAbsent;
+                    Verdict checkSend() {
+                        inspect(stateMachine.shouldSendStatement());
+                        return SendGuard.decide(now(), knowledge);
+                    }
+
+                    @Override
+                    Verdict checkRest() {
+                        inspect(stateMachine.isRunning());
+                        return SendGuard.decideRest(now(), knowledge, headMadeAt);
+                    }
+
+                    @Override
+                    void onRefused(Verdict reason) {
+                        context.guard().onSendRefused(exchange, reason, number, engine);
                     }
 
                     @Override
@@ -115,6 +130,11 @@
                         return onStatementWritten();
                     }
 
+                    @Override
+                    void onWritten() {
+                        context.guard().onStatementSent(exchange, knowledge);
+                    }
+
                     @Override
                     void onResponse(EngineResponse response) {
                         interpret(response, 0)
@@ -134,10 +154,16 @@
                 });
     }
 
+    private void inspect(boolean attemptOpen) {
+        knowledge =
+                context.guard()
+                        .inspect(exchange, attemptOpen, !pool.isDraining() && !pool.closed());
+    }
+
     /** The statement is being written; its headers. */
     private String onStatementWritten() {
         long now = now();
-        countDelaySinceClientLeft(exchange.disconnectedFor(now));
+        headMadeAt = now;
         stateMachine.onStatementWritten(now);
         countedAsRunning = true;
         pool.onAttemptRunning();
@@ -146,18 +172,6 @@
         return EngineProtocol.statementHeaders(exchange, timeoutMs, priority);
     }
 
-    private void countDelaySinceClientLeft(long disconnectedFor) {
-        if (disconnectedFor > 0) {
-            context.counters()
-                    .peak(
-                            "max delay from client left to statement sent, us",
-                            disconnectedFor * 100);
-        }
-        if (disconnectedFor > LATE_SEND_THRESHOLD) {
-            context.counters().count("statements sent later than 0.1 s after their client left");
-        }
-    }
-
     @Override
     public void poll(boolean onNewConnection) {
         callGet(0, onNewConnection);
--- a/src/main/java/firstage/server/engine/EngineCall.java
+++ b/src/main/java/firstage/server/engine/EngineCall.java
@@ -1,5 +1,6 @@
 package firstage.server.engine;
 
+import firstage.lifecycle.SendGuard.Verdict;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 
@@ -9,7 +10,8 @@
  */
 abstract class EngineCall {
     /**
-     * Why there is no response. Nothing was sent in the first five cases; the others prove nothing.
+     * Why there is no response. Nothing was sent in the first five cases, or not to its end; the
+     * others prove nothing.
      */
     enum Failure {
         CONNECTION_REFUSED,
@@ -44,11 +46,26 @@
     }
 
     /**
-     * Whether it is to be written at all, asked when its connection is up; if not, it fails as
-     * {@link Failure#NO_LONGER_WANTED}.
+     * Whether it may be written now; asked when its connection is up. Where it is refused, it fails
+     * as {@link Failure#NO_LONGER_WANTED}.
      */
-    boolean shouldSend() {
-        return true;
+    Verdict checkSend() {
+        return Verdict.SEND;
+    }
+
+    /** The same for what is left of it, where a part was written. */
+    Verdict checkRest() {
+        return Verdict.SEND;
+    }
+
+    /** It is not written, or not to its end. */
+    void onRefused(Verdict reason) {
+        // Nobody needs to know of most calls.
+    }
+
+    /** All of it was handed to the system. */
+    void onWritten() {
+        // Nobody needs to know of most calls.
     }
 
     ByteBuffer encode(String host) {
--- a/src/main/java/firstage/server/engine/EngineClients.java
+++ b/src/main/java/firstage/server/engine/EngineClients.java
@@ -5,6 +5,7 @@
 import firstage.policy.api.AttemptOutcome;
 import firstage.policy.api.EndpointUpdate.Lifecycle;
 import firstage.policy.api.LoadReport;
+import firstage.server.ActionGuard;
 import firstage.server.Counters;
 import firstage.server.RequestExchange;
 import firstage.server.ServerEvents;
@@ -38,6 +39,7 @@
             TickClock clock,
             Counters counters,
             ServerEvents events,
+            ActionGuard guard,
             ManagerConfig config) {
         long keepAlive = config.settings().getTicks(SettingsKeys.KEEPALIVE);
         context =
@@ -46,6 +48,7 @@
                         clock,
                         counters,
                         events,
+                        guard,
                         ByteBuffer.allocateDirect(READ_BUFFER_BYTES),
                         Math.max(1, config.settings().getTicks(SettingsKeys.CONNECT_TIMEOUT) / 10),
                         (keepAlive > 0 ? keepAlive : DEFAULT_KEEP_ALIVE) / 2);
--- a/src/main/java/firstage/server/engine/EngineConnection.java
+++ b/src/main/java/firstage/server/engine/EngineConnection.java
@@ -1,9 +1,10 @@
 package firstage.server.engine;
 
+import firstage.lifecycle.SendGuard.Verdict;
+import firstage.server.ActionGuard;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
@@ -16,6 +17,7 @@
     private static final byte[] HTTP_VERSION_PREFIX = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
     private final EngineConnectionPool pool;
     private final XnioIoThread io;
+    private final ActionGuard guard;
     private final ByteBuffer readBuffer;
     private final StreamConnection channel;
     private EngineCall call;
@@ -41,10 +43,12 @@
     EngineConnection(
             EngineConnectionPool pool,
             XnioIoThread io,
+            ActionGuard guard,
             ByteBuffer readBuffer,
             StreamConnection channel) {
         this.pool = pool;
         this.io = io;
+        this.guard = guard;
         this.readBuffer = readBuffer;
         this.channel = channel;
         channel.getSourceChannel().setReadListener(this::onReadable);
@@ -65,24 +69,39 @@
         }
     }
 
+    boolean isClosed() {
+        return closed;
+    }
+
     void send(EngineCall next, String host) {
         call = next;
         sentAt = pool.now();
         reader = new EngineResponseReader();
         unsentBytes = next.encode(host);
         responseTimeout =
-                io.executeAfter(
-                        () -> fail(EngineCall.Failure.RESPONSE_TIMEOUT),
-                        next.timeoutMs,
-                        TimeUnit.MILLISECONDS);
-        onWritable(channel.getSinkChannel());
+                guard.executeAfter(next.timeoutMs, () -> fail(EngineCall.Failure.RESPONSE_TIMEOUT));
+        write(channel.getSinkChannel());
     }
 
     private void onWritable(ConduitStreamSinkChannel sink) {
-        if (unsentBytes == null) {
+        if (unsentBytes == null || call == null) {
             sink.suspendWrites();
             return;
         }
+        Verdict verdict = call.checkRest();
+        if (verdict == Verdict.SEND) {
+            write(sink);
+        } else if (verdict == Verdict.RENEW) {
+            sink.suspendWrites();
+            guard.runAfterPendingReads(() -> onWritable(sink));
+        } else {
+            // The engine never gets the whole of it, so it does not begin.
+            call.onRefused(verdict);
+            fail(EngineCall.Failure.NO_LONGER_WANTED);
+        }
+    }
+
+    private void write(ConduitStreamSinkChannel sink) {
         try {
             while (unsentBytes.hasRemaining()) {
                 if (sink.write(unsentBytes) == 0) {
@@ -90,12 +109,10 @@
                     return;
                 }
             }
-            if (sink.flush()) {
-                unsentBytes = null;
-                sink.suspendWrites();
-            } else {
-                sink.resumeWrites();
-            }
+            sink.flush();
+            unsentBytes = null;
+            sink.suspendWrites();
+            call.onWritten();
         } catch (IOException exception) {
             // Its response may be there all the same: reading shows.
             unsentBytes = null;
--- a/src/main/java/firstage/server/engine/EngineConnectionPool.java
+++ b/src/main/java/firstage/server/engine/EngineConnectionPool.java
@@ -1,5 +1,6 @@
 package firstage.server.engine;
 
+import firstage.lifecycle.SendGuard.Verdict;
 import firstage.server.TickClock;
 import java.io.IOException;
 import java.net.ConnectException;
@@ -9,7 +10,6 @@
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.xnio.IoFuture;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -36,6 +36,9 @@
      */
     private static final long DOUBT_PERIOD = 3_000;
 
+    /** How often what is known is renewed for one send, on a machine that is very busy. */
+    private static final int MAX_RENEWALS = 3;
+
     private final EngineContext context;
     private final ConnectionBudget budget;
     private final TickClock clock;
@@ -90,13 +93,14 @@
      */
     void call(EngineCall call, boolean onNewConnection, boolean requireQuiet) {
         closeIdleTooLong();
-        if (!call.shouldSend()) {
-            context.io().execute(() -> call.onFailure(EngineCall.Failure.NO_LONGER_WANTED));
-            return;
-        }
         EngineConnection ready = onNewConnection ? null : findReady(requireQuiet);
         if (ready != null) {
-            ready.send(call, host);
+            sendIfAllowed(ready, call, 0);
+            return;
+        }
+        Verdict verdict = call.checkSend();
+        if (verdict.isRefusal()) {
+            refuse(call, verdict);
         } else if (budget.reserve()) {
             connect(call);
         } else {
@@ -104,6 +108,29 @@
         }
     }
 
+    private void refuse(EngineCall call, Verdict reason) {
+        call.onRefused(reason);
+        context.io().execute(() -> call.onFailure(EngineCall.Failure.NO_LONGER_WANTED));
+    }
+
+    /** Asks at the instant at which the call would be written on this connection. */
+    private void sendIfAllowed(EngineConnection connection, EngineCall call, int renewals) {
+        if (connection.isClosed()) {
+            context.io().execute(() -> call.onFailure(EngineCall.Failure.RESET_BEFORE_SEND));
+            return;
+        }
+        Verdict verdict = call.checkSend();
+        if (verdict == Verdict.SEND) {
+            connection.send(call, host);
+        } else if (verdict == Verdict.RENEW && renewals < MAX_RENEWALS) {
+            context.guard()
+                    .runAfterPendingReads(() -> sendIfAllowed(connection, call, renewals + 1));
+        } else {
+            idle(connection, false);
+            refuse(call, verdict == Verdict.RENEW ? Verdict.KNOWLEDGE_STALE : verdict);
+        }
+    }
+
     /**
      * An idle connection; where no other can be had one that should still stay quiet: a draining
      * engine may accept no new connections.
@@ -147,11 +174,7 @@
                         .openStreamConnection(
                                 address, null, OptionMap.create(Options.TCP_NODELAY, true));
         XnioExecutor.Key connectTimeout =
-                context.io()
-                        .executeAfter(
-                                connectFuture::cancel,
-                                context.connectTimeoutMs(),
-                                TimeUnit.MILLISECONDS);
+                context.guard().executeAfter(context.connectTimeoutMs(), connectFuture::cancel);
         // Handled on this thread, after the events at hand: a refusal may be known before this
         // call returns.
         connectFuture.addNotifier(
@@ -190,14 +213,14 @@
     private void onConnected(EngineCall call, IoFuture<? extends StreamConnection> future) {
         try {
             EngineConnection connection =
-                    new EngineConnection(this, context.io(), context.readBuffer(), future.get());
+                    new EngineConnection(
+                            this,
+                            context.io(),
+                            context.guard(),
+                            context.readBuffer(),
+                            future.get());
             all.add(connection);
-            if (call.shouldSend()) {
-                connection.send(call, host);
-            } else {
-                idle(connection, false);
-                call.onFailure(EngineCall.Failure.NO_LONGER_WANTED);
-            }
+            sendIfAllowed(connection, call, 0);
         } catch (IOException exception) {
             budget.release();
             call.onFailure(EngineCall.Failure.CONNECT_TIMEOUT);
--- a/src/main/java/firstage/server/engine/EngineContext.java
+++ b/src/main/java/firstage/server/engine/EngineContext.java
@@ -1,5 +1,6 @@
 package firstage.server.engine;
 
+import firstage.server.ActionGuard;
 import firstage.server.Counters;
 import firstage.server.ServerEvents;
 import firstage.server.TickClock;
@@ -18,6 +19,7 @@
         TickClock clock,
         Counters counters,
         ServerEvents events,
+        ActionGuard guard,
         ByteBuffer readBuffer,
         long connectTimeoutMs,
         long maxIdle) {}
--- a/src/main/java/firstage/server/membership/MembershipTransport.java
+++ b/src/main/java/firstage/server/membership/MembershipTransport.java
@@ -25,7 +25,6 @@
 import firstage.server.Counters;
 import firstage.server.ServerEvents.DiscoveredEndpoint;
 import firstage.server.TickClock;
-import firstage.util.Ticks;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.net.InetSocketAddress;
@@ -72,12 +71,6 @@
     private static final int TICK_MS = 20;
     private static final int MAX_DATAGRAM_BYTES = 1_200;
 
-    /** Three ticks of this class; less is a busy machine, not a pause. */
-    private static final long PAUSE_THRESHOLD = Ticks.ofMillis(60);
-
-    /** What arrived during a pause is read within this after it. */
-    private static final long BACKLOG_READ_TIME = Ticks.ofMillis(100);
-
     private static final int MAX_DATAGRAMS_PER_READ = 64;
 
     /** Cells that a status names in each of its lists. */
@@ -110,10 +103,6 @@
     /** The index of the address whose datagram is being read. */
     private int currentSender;
 
-    private long lastTickAt;
-    private long pauseDetectedAt = Long.MIN_VALUE / 4;
-    private long lastPause;
-
     /**
      * {@code startedAtUnixMs}: this manager's incarnation; {@code probeActions}, {@code
      * sheddingActions}: what the fleet coordinator decides for this manager; {@code
@@ -265,26 +254,8 @@
         return leases.share(clock.now());
     }
 
-    /**
-     * How long this process was paused just now, in ticks: since its last tick, or until the one
-     * that came late; 0 where it was not.
-     */
-    public long pauseDuration() {
-        long now = clock.now();
-        long since = lastTickAt == 0 ? 0 : now - lastTickAt;
-        return Math.max(
-                since > PAUSE_THRESHOLD ? since : 0,
-                now - pauseDetectedAt < BACKLOG_READ_TIME ? lastPause : 0);
-    }
-
     private void tick() {
         if (!closed) {
-            long now = clock.now();
-            if (lastTickAt > 0 && now - lastTickAt > PAUSE_THRESHOLD) {
-                pauseDetectedAt = now;
-                lastPause = now - lastTickAt;
-            }
-            lastTickAt = now;
             protocol.tick(clock.now());
             if (cells != null) {
                 cells.tick(clock.now());
--- a/src/test/java/firstage/lifecycle/ClientCallStateMachineTest.java
+++ b/src/test/java/firstage/lifecycle/ClientCallStateMachineTest.java
@@ -55,6 +55,25 @@
                         "markClientGone");
     }
 
+    /** A client that was given a path and closes must not count as there until its grace ends. */
+    @Test
+    void pathConnectionClosed_beforePoll_clientAbsentAtOnceUntilItPolls() {
+        call.start();
+        call.onTimeout();
+        call.onPathConnectionClosed();
+        call.onPoll();
+        call.onPathConnectionClosed();
+        assertThat(actions)
+                .containsExactly(
+                        "startTimer 2500",
+                        "respondWithPollPath",
+                        "startTimer 500",
+                        "startTimer 20000",
+                        "markClientAbsent",
+                        "stopTimer",
+                        "markClientPresent");
+    }
+
     @Test
     void poll_neverMade_clientGoneUnlessAnswerReady() {
         call.start();
--- a/src/test/java/firstage/server/CancellationIT.java
+++ b/src/test/java/firstage/server/CancellationIT.java
@@ -137,7 +137,7 @@
         client.close();
         manager.terminate();
         assertThat(manager.awaitExit()).isZero();
-        assertThat(manager.log()).doesNotContain("statements sent later");
+        assertThat(manager.log()).doesNotContain("violation", "stale knowledge");
     }
 
     /**
