--- a/src/main/java/firstage/server/client/ClientHandler.java
+++ b/src/main/java/firstage/server/client/ClientHandler.java
@@ -314,7 +314,9 @@
                         pendingCalls,
                         call.requestId(),
                         pendingCalls.newPollPath(call.requestId()));
-        long deadline = clock.now() + (long) (call.timeoutMs() * 10);
+        // What may have lain unread during a pause has that much less time: counted from when it is
+        // read, its answer would come after its client has gone.
+        long deadline = guard.earliestArrival() + (long) (call.timeoutMs() * 10);
         RequestExchange request =
                 new RequestExchange(
                         call.requestId(),
