Nothing is closed for lack of input before what came in a pause is read

Callers saw: a request that had come whole was reset without an answer. Cause: the class of the late sends: after a pause the timers run first. The time for a statement to be read, an answer to be taken, a response to come and a watch to speak ran out while the bytes lay unread. Change: these timers run after a read barrier (ActionGuard.executeAfter); so do the close of a drained connection and of an answer that is not read, and the start's wait for the coordinator's first word.

--- a/src/main/java/firstage/server/ManagerServer.java
+++ b/src/main/java/firstage/server/ManagerServer.java
@@ -62,7 +62,7 @@
         guard = new ActionGuard(io, clock, counters, barrier);
         engines = new EngineClients(io, clock, counters, this, guard, config);
         clientHandler = new ClientHandler(io, clock, counters, this, guard, config);
-        endpointWatcher = new EndpointWatcher(io, clock, counters, this, config);
+        endpointWatcher = new EndpointWatcher(io, clock, counters, this, guard, config);
         loop = new SchedulerLoop(io, clock, counters, guard, endpointWatcher::isConfirmed);
         requests = new RequestRegistry(clock, counters);
         requestEvents = new RequestEventHandler(clock, barrier, loop, requests);
--- a/src/main/java/firstage/server/client/ClientHandler.java
+++ b/src/main/java/firstage/server/client/ClientHandler.java
@@ -82,7 +82,7 @@
         this.guard = guard;
         this.listenAddress = config.listenAddress();
         connections = new ClientConnections(io, counters, config.maxClientConnections());
-        responses = new ClientResponses(io, clock, counters, connections);
+        responses = new ClientResponses(io, clock, counters, guard, connections);
         pendingCalls = new PendingCalls(counters, config.maxClientBytes());
         trafficClasses = new TrafficClasses(config.settings(), StatementCallValidator.MAX_ESTIMATE);
         validator = new StatementCallValidator(trafficClasses, pendingCalls::isOpen);
@@ -238,10 +238,12 @@
     private void receiveStatement(HttpServerExchange exchange, String trafficClass) {
         // A client that stops within a statement would hold its connection for ever.
         XnioExecutor.Key bodyTimeout =
-                io.executeAfter(
-                        () -> IoUtils.safeClose(exchange.getConnection()),
+                guard.executeAfter(
                         MAX_BODY_READ_MS,
-                        TimeUnit.MILLISECONDS);
+                        () -> {
+                            counters.count("statements not ended in time");
+                            IoUtils.safeClose(exchange.getConnection());
+                        });
         exchange.getRequestReceiver().setMaxBufferSize(MAX_STATEMENT_BYTES);
         exchange.getRequestReceiver()
                 .receiveFullBytes(
--- a/src/main/java/firstage/server/client/ClientResponses.java
+++ b/src/main/java/firstage/server/client/ClientResponses.java
@@ -1,7 +1,9 @@
 package firstage.server.client;
 
+import firstage.server.ActionGuard;
 import firstage.server.Counters;
 import firstage.server.TickClock;
+import firstage.util.Ticks;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.io.IoCallback;
 import io.undertow.io.Sender;
@@ -39,6 +41,7 @@
     private final XnioIoThread io;
     private final TickClock clock;
     private final Counters counters;
+    private final ActionGuard guard;
     private final ClientConnections connections;
 
     /** Answers that are not all written yet, and since when; oldest first. */
@@ -48,10 +51,15 @@
     private boolean closing;
 
     ClientResponses(
-            XnioIoThread io, TickClock clock, Counters counters, ClientConnections connections) {
+            XnioIoThread io,
+            TickClock clock,
+            Counters counters,
+            ActionGuard guard,
+            ClientConnections connections) {
         this.io = io;
         this.clock = clock;
         this.counters = counters;
+        this.guard = guard;
         this.connections = connections;
     }
 
@@ -65,30 +73,37 @@
         return closing;
     }
 
-    /**
-     * Whether all answers are written. A client that does not read its answer is waited for no
-     * longer than one that does needs: it must not keep the program from ending.
-     */
+    /** Whether all answers are written, or their clients have not read them in time. */
     boolean isIdle() {
-        closeStalledWrites(closing ? MAX_WRITE_CLOSING_MS : MAX_WRITE_MS);
         return writesSince.isEmpty();
     }
 
-    /** Ends the connections of answers that were not read in time; runs on by itself. */
+    /**
+     * Ends the connections of answers that were not read in time; runs on by itself. A client that
+     * does not read its answer is waited for no longer than one that does needs: it must not keep
+     * the program from ending.
+     */
     void sweepStalledWrites() {
-        closeStalledWrites(MAX_WRITE_MS);
+        if (isOldestWriteStalled()) {
+            // What was read during a pause has made room, and is written first.
+            guard.runAfterPendingReads(this::closeStalledWrites);
+        }
         io.executeAfter(this::sweepStalledWrites, WRITE_SWEEP_PERIOD_MS, TimeUnit.MILLISECONDS);
     }
 
-    private void closeStalledWrites(long maxMs) {
-        while (!writesSince.isEmpty()) {
-            Map.Entry<HttpServerExchange, Long> oldest = writesSince.entrySet().iterator().next();
-            if (clock.now() - Math.max(oldest.getValue(), closingSince) <= maxMs * 10) {
-                return;
-            }
+    private boolean isOldestWriteStalled() {
+        long maxMs = closing ? MAX_WRITE_CLOSING_MS : MAX_WRITE_MS;
+        return !writesSince.isEmpty()
+                && clock.now() - Math.max(writesSince.values().iterator().next(), closingSince)
+                        > Ticks.ofMillis(maxMs);
+    }
+
+    private void closeStalledWrites() {
+        while (isOldestWriteStalled()) {
+            HttpServerExchange oldest = writesSince.keySet().iterator().next();
             counters.count("responses not read");
-            writesSince.remove(oldest.getKey());
-            IoUtils.safeClose(oldest.getKey().getConnection());
+            writesSince.remove(oldest);
+            IoUtils.safeClose(oldest.getConnection());
         }
     }
 
@@ -133,7 +148,7 @@
 
     private void drainAndClose(AbstractServerConnection connection) {
         int[] bytesLeft = {MAX_DRAIN_BYTES};
-        io.executeAfter(() -> IoUtils.safeClose(connection), DRAIN_MS, TimeUnit.MILLISECONDS);
+        guard.executeAfter(DRAIN_MS, () -> IoUtils.safeClose(connection));
         connection
                 .getChannel()
                 .getSourceChannel()
--- a/src/main/java/firstage/server/discovery/EndpointWatcher.java
+++ b/src/main/java/firstage/server/discovery/EndpointWatcher.java
@@ -2,6 +2,7 @@
 
 import firstage.config.ManagerConfig;
 import firstage.policy.api.EndpointUpdate.Kind;
+import firstage.server.ActionGuard;
 import firstage.server.Counters;
 import firstage.server.ServerEvents;
 import firstage.server.TickClock;
@@ -60,6 +61,7 @@
     private final XnioIoThread io;
     private final Counters counters;
     private final ServerEvents events;
+    private final ActionGuard guard;
     private final EndpointParser parser;
     private final TickClock clock;
     private InetSocketAddress coordinator;
@@ -92,10 +94,12 @@
             TickClock clock,
             Counters counters,
             ServerEvents events,
+            ActionGuard guard,
             ManagerConfig config) {
         this.io = io;
         this.counters = counters;
         this.events = events;
+        this.guard = guard;
         this.clock = clock;
         parser = new EndpointParser(clock, config.settings());
     }
@@ -124,7 +128,7 @@
             LOG.warning("initial endpoints unreadable cause=" + exception.getMessage());
         }
         if (coordinator == null) {
-            io.executeAfter(this::confirm, CONFIRM_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            guard.executeAfter(CONFIRM_TIMEOUT_MS, this::confirm);
         }
         coordinator = config.coordinatorAddress();
         closeConnection();
@@ -178,7 +182,7 @@
         IoFuture<? extends StreamConnection> connectFuture =
                 io.openStreamConnection(coordinator, null, OptionMap.EMPTY);
         XnioExecutor.Key connectTimeout =
-                io.executeAfter(connectFuture::cancel, CONNECT_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+                guard.executeAfter(CONNECT_TIMEOUT_MS, connectFuture::cancel);
         XnioExecutor.Key nextAttempt =
                 attempt >= MAX_PARALLEL_ATTEMPTS
                         ? null
@@ -250,8 +254,7 @@
         if (silenceTimer != null) {
             silenceTimer.remove();
         }
-        silenceTimer =
-                io.executeAfter(this::onConnectionLost, SILENCE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        silenceTimer = guard.executeAfter(SILENCE_TIMEOUT_MS, this::onConnectionLost);
     }
 
     private void onConnectionLost() {
