A connection that times out is a lost connection, not a spoilt answer

Callers saw: an attempt that ran was failed and sent again where connections to its engine broke with ETIMEDOUT or EHOSTUNREACH. Cause: only errors whose text holds 'reset', 'Broken pipe' or 'closed' counted as a broken connection; five of the others end an attempt as unreadable. Change: what can't be parsed is a MalformedResponseException; any other error of a read is the connection's. A connect that timed out proves no dead process.

--- a/src/main/java/firstage/server/engine/EngineConnection.java
+++ b/src/main/java/firstage/server/engine/EngineConnection.java
@@ -142,19 +142,14 @@
                     onResponseComplete();
                 }
             }
+        } catch (MalformedResponseException exception) {
+            fail(EngineCall.Failure.MALFORMED_RESPONSE);
         } catch (IOException exception) {
-            fail(
-                    reader != null && channel.isOpen() && !isReset(exception)
-                            ? EngineCall.Failure.MALFORMED_RESPONSE
-                            : EngineCall.Failure.CONNECTION_BROKEN);
+            // Reset, timed out, unreachable: the connection is gone, whatever its error is called.
+            fail(EngineCall.Failure.CONNECTION_BROKEN);
         }
     }
 
-    private static boolean isReset(IOException exception) {
-        String text = String.valueOf(exception.getMessage());
-        return text.contains("reset") || text.contains("Broken pipe") || text.contains("closed");
-    }
-
     private void onResponseComplete() {
         EngineCall completedCall = call;
         boolean hasTrailingBytes = readBuffer.hasRemaining();
--- a/src/main/java/firstage/server/engine/EngineConnectionPool.java
+++ b/src/main/java/firstage/server/engine/EngineConnectionPool.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
-import java.net.SocketException;
 import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -202,12 +201,13 @@
         if (future.getStatus() != IoFuture.Status.FAILED) {
             return EngineCall.Failure.CONNECT_TIMEOUT;
         }
-        if (future.getException() instanceof ConnectException) {
-            return EngineCall.Failure.CONNECTION_REFUSED;
+        if (!(future.getException() instanceof ConnectException)) {
+            return EngineCall.Failure.RESET_BEFORE_SEND;
         }
-        return future.getException() instanceof SocketException
-                ? EngineCall.Failure.RESET_BEFORE_SEND
-                : EngineCall.Failure.CONNECT_TIMEOUT;
+        // The same exception stands for ECONNREFUSED and ETIMEDOUT.
+        return String.valueOf(future.getException().getMessage()).contains("timed out")
+                ? EngineCall.Failure.CONNECT_TIMEOUT
+                : EngineCall.Failure.CONNECTION_REFUSED;
     }
 
     private void onConnected(EngineCall call, IoFuture<? extends StreamConnection> future) {
--- a/src/main/java/firstage/server/engine/EngineResponseReader.java
+++ b/src/main/java/firstage/server/engine/EngineResponseReader.java
@@ -1,7 +1,6 @@
 package firstage.server.engine;
 
 import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
@@ -37,14 +36,14 @@
     /**
      * Reads what is there; true once the response is complete. What follows it stays in the buffer.
      */
-    boolean read(ByteBuffer in) throws IOException {
+    boolean read(ByteBuffer in) throws MalformedResponseException {
         while (part != Part.DONE && in.hasRemaining()) {
             if (part == Part.BODY || part == Part.CHUNK) {
                 readBody(in);
             } else {
                 byte b = in.get();
                 if (++headBytes > MAX_HEAD_BYTES) {
-                    throw new IOException("head too long");
+                    throw new MalformedResponseException("head too long");
                 }
                 if (b == '\n') {
                     String text = readLine.toString(StandardCharsets.ISO_8859_1).stripTrailing();
@@ -62,10 +61,10 @@
         return new EngineResponse(status, headers, body.toByteArray(), trailingBytes);
     }
 
-    private void readBody(ByteBuffer in) throws IOException {
+    private void readBody(ByteBuffer in) throws MalformedResponseException {
         int length = Math.min(bytesLeft, in.remaining());
         if (body.size() + length > MAX_BODY_BYTES) {
-            throw new IOException("body too long");
+            throw new MalformedResponseException("body too long");
         }
         byte[] piece = new byte[length];
         in.get(piece);
@@ -76,12 +75,12 @@
         }
     }
 
-    private void readLine(String text) throws IOException {
+    private void readLine(String text) throws MalformedResponseException {
         switch (part) {
             case STATUS -> {
                 String[] words = text.split(" ", 3);
                 if (!text.startsWith("HTTP/1.") || words.length < 2) {
-                    throw new IOException("no status line");
+                    throw new MalformedResponseException("no status line");
                 }
                 status = parseNumber(words[1], 10);
                 part = Part.HEADERS;
@@ -93,12 +92,12 @@
                     String name = text.substring(0, colon).trim().toLowerCase(Locale.ROOT);
                     String before = headers.put(name, value);
                     if (name.equals("content-length") && before != null && !before.equals(value)) {
-                        throw new IOException("two lengths");
+                        throw new MalformedResponseException("two lengths");
                     }
                 } else if (text.isEmpty()) {
                     onHeadersComplete();
                 } else {
-                    throw new IOException("no header");
+                    throw new MalformedResponseException("no header");
                 }
             }
             case CHUNK_SIZE -> {
@@ -112,7 +111,7 @@
         }
     }
 
-    private void onHeadersComplete() throws IOException {
+    private void onHeadersComplete() throws MalformedResponseException {
         if (status >= 100 && status < 200) {
             headers.clear();
             part = Part.STATUS;
@@ -125,16 +124,16 @@
         } else if (headers.containsKey("content-length")) {
             bytesLeft = parseNumber(headers.get("content-length"), 10);
             if (bytesLeft > MAX_BODY_BYTES) {
-                throw new IOException("body too long");
+                throw new MalformedResponseException("body too long");
             }
             part = bytesLeft == 0 ? Part.DONE : Part.BODY;
         } else {
             // Its end could not be distinguished from a connection that breaks.
-            throw new IOException("no length");
+            throw new MalformedResponseException("no length");
         }
     }
 
-    private static int parseNumber(String text, int radix) throws IOException {
+    private static int parseNumber(String text, int radix) throws MalformedResponseException {
         try {
             int number = Integer.parseInt(text.trim(), radix);
             if (number >= 0) {
@@ -143,6 +142,6 @@
         } catch (NumberFormatException exception) {
             // Reported below.
         }
-        throw new IOException("no number: " + text);
+        throw new MalformedResponseException("no number: " + text);
     }
 }
--- /dev/null
+++ b/src/test/java/firstage/server/SystemCallFaultsIT.java
@@ -0,0 +1,79 @@
+package firstage.server;
+
+import static firstage.fixtures.EngineWire.NO_NEWS;
+import static firstage.fixtures.EngineWire.ONE_ROW;
+import static firstage.fixtures.ManagerSettings.LOOKUP;
+import static firstage.fixtures.ManagerSettings.REPORT;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.api.Assumptions.assumeTrue;
+
+import firstage.fixtures.BackgroundTasks;
+import firstage.fixtures.ManagerFixture;
+import firstage.fixtures.QueryClient;
+import firstage.fixtures.SystemCallFaults;
+import firstage.fixtures.SystemCallFaults.Kind;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** System calls of the manager fail for a moment. */
+class SystemCallFaultsIT extends ManagerFixture {
+    private static final int SEED = 1;
+    private static final int MOMENT_MS = 60;
+
+    /** Of a thousand calls: some writes pass, so that reads fail, too. */
+    private static final int OFTEN = 400;
+
+    /** From the end of the moment on an answer may take so long; a tenth would do. */
+    private static final int ANSWER_MS = 150;
+
+    private SystemCallFaults faults;
+
+    @BeforeEach
+    void startWithFaults() throws Exception {
+        assumeTrue(SystemCallFaults.available(), "PARTIAL: no C compiler, no call can fail");
+        faults = SystemCallFaults.create(folder, "manager", folder.resolve("lasting"), SEED);
+        manager.setEnvironment(faults.environment());
+        manager.restart(config());
+        try (QueryClient client = newClient()) {
+            assertThat(client.requestToEnd(LOOKUP, "", "SELECT 1", 5000).status()).isEqualTo(200);
+        }
+    }
+
+    /** A back-off after a failed accept keeps new connections waiting for 0.25 s and longer. */
+    @Test
+    void accept_failsForAMoment_nextConnectionIsServedAtOnce() throws Exception {
+        for (int i = 0; i < 3; i++) {
+            faults.set(Kind.ACCEPT, SystemCallFaults.ALWAYS);
+            try (QueryClient client = newClient()) {
+                client.sendRequest(LOOKUP, "", "SELECT 1", 5000);
+                Thread.sleep(MOMENT_MS);
+                faults.set(Kind.ACCEPT, 0);
+                long start = System.nanoTime();
+                assertThat(client.readToEnd().status()).isEqualTo(200);
+                assertThat(millisecondsSince(start)).isLessThan(ANSWER_MS);
+            }
+        }
+        assertThat(faults.count(Kind.ACCEPT)).isPositive();
+    }
+
+    /** Connections that time out pass for spoilt answers; five end an attempt that runs. */
+    @Test
+    void engineConnections_break_attemptGoesOn() throws Exception {
+        engine.calls().clear();
+        engine.respondWith(call -> NO_NEWS);
+        try (QueryClient client = newClient()) {
+            client.sendRequest(REPORT, "", "SELECT 1", 9000);
+            Thread.sleep(200);
+            faults.set(Kind.BREAK, OFTEN);
+            BackgroundTasks.start(
+                    () -> {
+                        Thread.sleep(4_000);
+                        faults.set(Kind.BREAK, 0);
+                        engine.respondWith(call -> ONE_ROW);
+                    });
+            assertThat(client.readToEnd().status()).isEqualTo(200);
+        }
+        assertThat(faults.count(Kind.BREAK)).isPositive();
+        assertThat(engine.posts()).hasSize(1);
+    }
+}
