A start that finds no socket for a moment tries again; SIGUSR2 logs the counters

Callers saw: 'can't serve: Too many open files in system', status 2. Cause: only a taken address was tried again; ENFILE and ENOBUFS are SocketExceptions, too.

--- a/src/main/java/firstage/cli/ServeCommand.java
+++ b/src/main/java/firstage/cli/ServeCommand.java
@@ -7,7 +7,7 @@
 import firstage.server.ManagerServer;
 import java.io.FileNotFoundException;
 import java.io.IOException;
-import java.net.BindException;
+import java.net.SocketException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.logging.Logger;
@@ -17,7 +17,8 @@
 /**
  * {@code serve}: one workload manager, until SIGTERM. What passes by itself does not fail a start
  * or a SIGHUP: a configuration that is cut or missing while it is replaced, an address that the
- * manager before still holds. Each is logged once and tried again for a stated time.
+ * manager before still holds, a system that has no socket left for the moment. Each is logged once
+ * and tried again for a stated time.
  */
 final class ServeCommand {
     private static final Logger LOG = Logger.getLogger(ServeCommand.class.getName());
@@ -86,6 +87,7 @@
         if (terminated) {
             server.shutDown();
         }
+        Signal.handle(new Signal("USR2"), signal -> server.logCounters());
         reloader.start(server, config);
         if (hangUpIgnored) {
             reloader.watchFile();
@@ -141,7 +143,7 @@
     private static boolean isTransient(IOException fault) {
         return fault instanceof JsonProcessingException
                 || fault instanceof FileNotFoundException
-                || fault instanceof BindException;
+                || fault instanceof SocketException;
     }
 
     static void sleep(long ms) {
--- a/src/test/java/firstage/server/SystemCallFaultsIT.java
+++ b/src/test/java/firstage/server/SystemCallFaultsIT.java
@@ -76,4 +76,16 @@
         assertThat(faults.count(Kind.BREAK)).isPositive();
         assertThat(engine.posts()).hasSize(1);
     }
+
+    /** A start that finds no socket for a moment ends the program. */
+    @Test
+    void start_noSocketForAMoment_serves() throws Exception {
+        manager.kill();
+        faults.set(Kind.SOCKET, SystemCallFaults.ALWAYS);
+        manager.start(config());
+        Thread.sleep(1_500);
+        faults.set(Kind.SOCKET, 0);
+        manager.awaitAlive();
+        assertThat(faults.count(Kind.SOCKET)).isPositive();
+    }
 }
