A client that closed only its own side gets its final answer

Callers saw: a first call on a half-closed connection ended without an answer. Cause: the end of the input was taken for a close, and the connection closed; a half-close can't be told from it. The request is cancelled as before, and the first call is answered as failed, which a client that is gone never sees.

--- a/src/main/java/firstage/server/client/PendingCall.java
+++ b/src/main/java/firstage/server/client/PendingCall.java
@@ -157,7 +157,7 @@
             try (PooledByteBuffer pooled = connection.getByteBufferPool().allocate()) {
                 int bytesRead = connection.getOriginalSourceConduit().read(pooled.getBuffer());
                 if (bytesRead < 0) {
-                    onConnectionBroken(this, "client closed");
+                    onConnectionEnded(this);
                 } else if (bytesRead > 0) {
                     // The next call came before the answer to this one: that breaks the protocol.
                     responses.refuseAndClose(release(), 400, "one call at a time");
@@ -174,6 +174,18 @@
         counters.recorder().record(event, id, reason, heldCalls.size(), 0);
     }
 
+    /** A client that closed only its own side has its answer still: to the first call, failed. */
+    private void onConnectionEnded(HeldCall call) {
+        if (call.isPoll()) {
+            onConnectionBroken(call, "client closed");
+        } else {
+            record(EventType.CALL_CLOSED, "client closed");
+            respond(call, FAILED, false);
+            guard.onClientLeft(request);
+            stateMachine.onFirstCallBroken();
+        }
+    }
+
     private void onConnectionBroken(HeldCall call, String reason) {
         call.close(reason);
         if (heldCalls.isEmpty()) {
--- a/src/test/java/firstage/server/CancellationIT.java
+++ b/src/test/java/firstage/server/CancellationIT.java
@@ -55,6 +55,21 @@
         assertThat(engine.awaitCall(DELETE).startLine()).endsWith(JobIds.of(2));
     }
 
+    /**
+     * A client that ends its own side only waits still: its call must not end without an answer.
+     */
+    @Test
+    void firstCall_halfClosedByClient_isAnsweredAsFailed() throws Exception {
+        engine.respondWith(call -> call.isDelete() ? DELETED : SILENCE);
+        try (QueryClient client = newClient()) {
+            client.sendRequest(REPORT, "", "SELECT 1", 9000);
+            engine.awaitCall(POST_STATEMENT);
+            client.shutdownOutput();
+            assertThat(client.read().status()).isEqualTo(500);
+        }
+        assertThat(engine.awaitCall(DELETE).startLine()).endsWith(JobIds.of(1));
+    }
+
     /** The call that the client holds open must not end without a response. */
     @Test
     void heldCall_deletedOnAnotherConnection_isAnsweredAsFailed() throws Exception {
