A stepped wall clock makes no engine older than it is

Callers would see: an engine that just started pushed over after the clock of a manager was stepped forward by an hour. Cause: its start was counted back from the wall clock of the moment at which an event is read, so the step passed for age; and the same engine listed again got another start, which passes for a restart.

--- a/src/main/java/firstage/server/discovery/EndpointParser.java
+++ b/src/main/java/firstage/server/discovery/EndpointParser.java
@@ -13,6 +13,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -20,7 +21,15 @@
 final class EndpointParser {
     private static final int RECORD_BYTES = 27;
     private static final double WEIGHT_SCALE = 1_000;
+
+    /** When an engine started, as listed and in ticks. */
+    private record Start(long unixMs, long at) {}
+
     private final TickClock clock;
+
+    /** By the engine's id, of those that are not gone. */
+    private final Map<Long, Start> starts = new HashMap<>();
+
     private final List<String> zones;
     private final List<String> machineTypes;
 
@@ -62,11 +71,25 @@
                             cell,
                             lifecycle,
                             weight,
-                            clock.fromUnixMillis(started)));
+                            startOf(id, lifecycle, started)));
         }
         return endpoints;
     }
 
+    /** The same for each event that names the engine and its start, whatever the clocks do. */
+    private long startOf(long id, Lifecycle lifecycle, long startedAtMs) {
+        if (lifecycle == Lifecycle.GONE) {
+            starts.remove(id);
+            return clock.fromUnixMillis(startedAtMs);
+        }
+        Start known = starts.get(id);
+        if (known == null || known.unixMs != startedAtMs) {
+            known = new Start(startedAtMs, clock.fromUnixMillis(startedAtMs));
+            starts.put(id, known);
+        }
+        return known.at;
+    }
+
     List<DiscoveredEndpoint> parse(List<?> instances) {
         List<DiscoveredEndpoint> endpoints = new ArrayList<>();
         for (Object instance : instances) {
@@ -77,9 +100,10 @@
                         case "Terminating" -> Lifecycle.DRAINING;
                         default -> Lifecycle.GONE;
                     };
+            long id = parseEngineId(fields.require("instanceId"));
             endpoints.add(
                     new DiscoveredEndpoint(
-                            parseEngineId(fields.require("instanceId")),
+                            id,
                             ManagerConfig.parseAddress(fields.require("hostPort")),
                             zones.indexOf(WireFields.escapeCommas(fields.getString("zone", ""))),
                             machineTypes.indexOf(
@@ -87,7 +111,7 @@
                             fields.getInt("cell", 0),
                             lifecycle,
                             fields.getDouble("weight", 1),
-                            clock.fromUnixMillis(fields.getLong("startedAtMs", 0))));
+                            startOf(id, lifecycle, fields.getLong("startedAtMs", 0))));
         }
         return endpoints;
     }
