Client connections are closed before the program ends, after a last read

In the exit of the JVM the I/O thread went on reading: a request that came then on an open connection could be forwarded, and lost with the process. Change: as the last step all connections without an open call are read and closed; a call that turns up is served first. ShutdownIT.sigterm_requestsOnIdleConnectionsAsItEnds guards it.

--- a/src/main/java/firstage/server/ShutdownSequence.java
+++ b/src/main/java/firstage/server/ShutdownSequence.java
@@ -126,6 +126,12 @@
     }
 
     private void end() {
+        if (!isIdle()) {
+            phase = Phase.DRAINING;
+            return;
+        }
+        // A request that came after this would be read, forwarded, and lost with the process.
+        clientHandler.closeIdleConnections();
         if (!isIdle()) {
             phase = Phase.DRAINING;
             return;
--- a/src/main/java/firstage/server/client/ClientConnections.java
+++ b/src/main/java/firstage/server/client/ClientConnections.java
@@ -117,6 +117,20 @@
         closeListeners.remove(connection);
     }
 
+    /**
+     * Closes all connections without an open call. What they hold is read first: a call that came
+     * is open then, and its connection stays.
+     */
+    void closeIdle() {
+        for (Map<StreamConnection, Long> candidates : List.of(silentSinceMs, idleSinceMs)) {
+            for (StreamConnection connection : List.copyOf(candidates.keySet())) {
+                if (isStillSilent(connection, candidates)) {
+                    close(connection);
+                }
+            }
+        }
+    }
+
     /** Closes the connection that was silent longest. */
     private boolean closeLeastRecent() {
         Map<StreamConnection, Long> candidates =
--- a/src/main/java/firstage/server/client/ClientHandler.java
+++ b/src/main/java/firstage/server/client/ClientHandler.java
@@ -181,6 +181,14 @@
         IoUtils.safeClose(listener);
     }
 
+    /**
+     * Closes all connections without an open call, after reading them: nothing can be accepted any
+     * more once none is open.
+     */
+    public void closeIdleConnections() {
+        connections.closeIdle();
+    }
+
     /** Whether all accepted requests are answered, and the answers are written. */
     public boolean isIdle() {
         return pendingCalls.allAnswered() && responses.isIdle();
--- a/src/test/java/firstage/server/ShutdownIT.java
+++ b/src/test/java/firstage/server/ShutdownIT.java
@@ -11,13 +11,17 @@
 import static firstage.fixtures.ManagerSettings.REPORT;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import firstage.fixtures.ClientWire;
 import firstage.fixtures.HttpMessage;
 import firstage.fixtures.JobIds;
 import firstage.fixtures.ManagerFixture;
 import firstage.fixtures.QueryClient;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -164,4 +168,43 @@
         }
         assertThat(manager.log()).contains("requests succeeded=2").doesNotContain("broken:");
     }
+
+    /**
+     * Requests on open connections that are read while the process ends are forwarded and lost:
+     * each is answered, or crosses the close of its connection unread.
+     */
+    @Test
+    void sigterm_requestsOnIdleConnectionsAsItEnds_noneIsForwardedAndLost() throws Exception {
+        int count = 40;
+        List<QueryClient> clients = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            QueryClient client = newClient();
+            assertThat(client.get(ClientWire.ALIVE_PATH).status()).isEqualTo(200);
+            clients.add(client);
+        }
+        manager.terminate();
+        while (!manager.log().contains("end: ")) {
+            Thread.onSpinWait();
+        }
+        List<String> unanswered = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            try {
+                clients.get(i).sendRequest(LOOKUP, "", "SELECT 1", 5000);
+                unanswered.add(jobIds.latest());
+            } catch (IOException closed) {
+                // Closed before it was sent.
+            }
+        }
+        for (int i = 0; i < count; i++) {
+            try (QueryClient client = clients.get(i)) {
+                client.readToEnd();
+                unanswered.remove(JobIds.of(i + 1));
+            } catch (IOException closed) {
+                // Closed without an answer.
+            }
+        }
+        assertThat(manager.awaitExit()).isZero();
+        assertThat(engine.posts().map(HttpMessage::ticket))
+                .doesNotContainAnyElementsOf(unanswered.isEmpty() ? List.of("-") : unanswered);
+    }
 }
