A statement is encoded before its check, so that nothing lies between check and write

Cause: the process was stopped between the guard's check and the write; between them stood the encoding, a timer and, in the traced run, a log line. Evidence: STATEMENT_WRITTEN, then STALL 2056, then the statement at the engine 3 ms after SIGCONT. Change: encode, check, write, in this order. What is left is the time from one system call to the next; a send that a pause hits there is counted (statements sent on stale knowledge), as it can't be taken back.

--- a/src/main/java/firstage/server/engine/AttemptRunner.java
+++ b/src/main/java/firstage/server/engine/AttemptRunner.java
@@ -127,12 +127,20 @@
 
                     @Override
                     String extraHeaders() {
-                        return onStatementWritten();
+                        return statementHeaders();
+                    }
+
+                    @Override
+                    void onWriting() {
+                        stateMachine.onStatementWritten(now());
+                        countedAsRunning = true;
+                        pool.onAttemptRunning();
                     }
 
                     @Override
                     void onWritten() {
                         context.guard().onStatementSent(exchange, knowledge);
+                        record(EventType.STATEMENT_WRITTEN, engine);
                     }
 
                     @Override
@@ -160,15 +168,9 @@
                         .inspect(exchange, attemptOpen, !pool.isDraining() && !pool.closed());
     }
 
-    /** The statement is being written; its headers. */
-    private String onStatementWritten() {
-        long now = now();
-        headMadeAt = now;
-        stateMachine.onStatementWritten(now);
-        countedAsRunning = true;
-        pool.onAttemptRunning();
-        record(EventType.STATEMENT_WRITTEN, engine);
-        long timeoutMs = Math.max(1, (exchange.deadline - now) / 10);
+    private String statementHeaders() {
+        headMadeAt = now();
+        long timeoutMs = Math.max(1, (exchange.deadline - headMadeAt) / 10);
         return EngineProtocol.statementHeaders(exchange, timeoutMs, priority);
     }
 
--- a/src/main/java/firstage/server/engine/EngineCall.java
+++ b/src/main/java/firstage/server/engine/EngineCall.java
@@ -40,7 +40,7 @@
 
     abstract void onFailure(Failure failure);
 
-    /** More header lines, each ended; called when the call is about to be written. */
+    /** More header lines, each ended; asked just before {@link #checkSend}. */
     String extraHeaders() {
         return "";
     }
@@ -63,6 +63,11 @@
         // Nobody needs to know of most calls.
     }
 
+    /** Its first byte is written next. */
+    void onWriting() {
+        // Nobody needs to know of most calls.
+    }
+
     /** All of it was handed to the system. */
     void onWritten() {
         // Nobody needs to know of most calls.
--- a/src/main/java/firstage/server/engine/EngineConnection.java
+++ b/src/main/java/firstage/server/engine/EngineConnection.java
@@ -75,14 +75,16 @@
         return closed;
     }
 
-    void send(EngineCall next, String host) {
+    /** Makes a call whose bytes are ready: nothing may come between its check and the write. */
+    void send(EngineCall next, ByteBuffer encoded) {
         call = next;
-        sentAt = pool.now();
+        unsentBytes = encoded;
         reader = new EngineResponseReader();
-        unsentBytes = next.encode(host);
+        sentAt = pool.now();
+        next.onWriting();
+        write(channel.getSinkChannel());
         responseTimeout =
                 guard.executeAfter(next.timeoutMs, () -> fail(EngineCall.Failure.RESPONSE_TIMEOUT));
-        write(channel.getSinkChannel());
     }
 
     private void onWritable(ConduitStreamSinkChannel sink) {
--- a/src/main/java/firstage/server/engine/EngineConnectionPool.java
+++ b/src/main/java/firstage/server/engine/EngineConnectionPool.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -118,9 +119,10 @@
             context.io().execute(() -> call.onFailure(EngineCall.Failure.RESET_BEFORE_SEND));
             return;
         }
+        ByteBuffer encoded = call.encode(host);
         Verdict verdict = call.checkSend();
         if (verdict == Verdict.SEND) {
-            connection.send(call, host);
+            connection.send(call, encoded);
         } else if (verdict == Verdict.RENEW && renewals < MAX_RENEWALS) {
             context.guard()
                     .runAfterPendingReads(() -> sendIfAllowed(connection, call, renewals + 1));
