A request that waited to be accepted has that much less time

Callers would see: deadlines at engines later than the client's by as long as accept failed. Cause: a request on a connection that the machine accepted lay unread, and its time counted from when it was read. Change: a failing accept counts as a pause until connections are accepted again. SystemCallFaultsIT.accept_failsForLong failed before (0.6 s of failing accepts), passes.

--- a/src/main/java/firstage/lifecycle/PauseDetector.java
+++ b/src/main/java/firstage/lifecycle/PauseDetector.java
@@ -11,6 +11,7 @@
  * <caption>State, event, next state, action</caption>
  * <tr><td>running</td><td>a beat is overdue</td><td>paused</td><td>request a read barrier</td></tr>
  * <tr><td>paused</td><td>a beat is overdue</td><td>paused</td><td>request another</td></tr>
+ * <tr><td>either</td><td>reads are blocked</td><td>paused</td><td>request another</td></tr>
  * <tr><td>paused</td><td>the last barrier was passed</td><td>running</td><td>-</td></tr>
  * </table>
  *
@@ -57,6 +58,12 @@
         lastBeat = now;
     }
 
+    /** What arrives is not read, from now on or since the last beats, until a barrier is passed. */
+    public void onReadsBlocked(long now) {
+        detect(now);
+        catchUpSince(previousBeat);
+    }
+
     /** All that had arrived when a read barrier was requested has been read. */
     public void onBacklogRead(long now) {
         detect(now);
@@ -81,9 +88,14 @@
         if (now - lastBeat <= BEAT_INTERVAL + MAX_BEAT_DELAY) {
             return;
         }
-        pausedSince = pausedSince == NOT_PAUSED ? previousBeat : pausedSince;
+        long before = previousBeat;
         previousBeat = now;
         lastBeat = now;
+        catchUpSince(before);
+    }
+
+    private void catchUpSince(long since) {
+        pausedSince = pausedSince == NOT_PAUSED ? since : pausedSince;
         barriersRequested++;
         actions.requestReadBarrier();
     }
--- a/src/main/java/firstage/server/ActionGuard.java
+++ b/src/main/java/firstage/server/ActionGuard.java
@@ -39,7 +39,20 @@
 
     private void requestBacklogBarrier() {
         counters.count("pauses");
-        barrier.runAfterPendingReads(() -> pauses.onBacklogRead(clock.now()));
+        barrier.runAfterPendingReads(this::onBarrierPassed);
+    }
+
+    private void onBarrierPassed() {
+        if (barrier.acceptsFail()) {
+            barrier.runAfterPendingReads(this::onBarrierPassed);
+        } else {
+            pauses.onBacklogRead(clock.now());
+        }
+    }
+
+    /** Connections wait that can't be accepted: what comes on them is not read. */
+    public void onAcceptFailed() {
+        pauses.onReadsBlocked(clock.now());
     }
 
     /** Nothing can have arrived before now: called just before this program listens. */
--- a/src/main/java/firstage/server/ReadBarrier.java
+++ b/src/main/java/firstage/server/ReadBarrier.java
@@ -93,6 +93,11 @@
         wakeUpReader.getSourceChannel().resumeReads();
     }
 
+    /** Whether connections wait that can't be accepted for the moment. */
+    boolean acceptsFail() {
+        return acceptsFail.getAsBoolean();
+    }
+
     /** All that had arrived at this moment has been read and its events are handled; in ticks. */
     long readAsOf() {
         return readAsOf;
--- a/src/main/java/firstage/server/client/ClientHandler.java
+++ b/src/main/java/firstage/server/client/ClientHandler.java
@@ -135,7 +135,10 @@
         } catch (IOException exception) {
             LOG.warning("connection not accepted cause=" + exception.getMessage());
             counters.count("connections not accepted");
-            acceptFailing = true;
+            if (!acceptFailing) {
+                acceptFailing = true;
+                guard.onAcceptFailed();
+            }
             listener.suspendAccepts();
             io.executeAfter(this::acceptPending, ACCEPT_RETRY_MS, TimeUnit.MILLISECONDS);
         }
--- a/src/test/java/firstage/lifecycle/PauseDetectorTest.java
+++ b/src/test/java/firstage/lifecycle/PauseDetectorTest.java
@@ -37,6 +37,20 @@
         assertThat(pauses.earliestArrival(resumed + 4)).isEqualTo(resumed + 4);
     }
 
+    /** A connection that can't be accepted for a while holds a request that nobody reads. */
+    @Test
+    void onReadsBlocked_countsFromThenUntilBacklogIsRead() {
+        pauses.onBeat(BEAT);
+        pauses.onReadsBlocked(BEAT + 1);
+        for (long now = 2 * BEAT; now < 20 * BEAT; now += BEAT) {
+            pauses.onBeat(now);
+        }
+        assertThat(pauses.earliestArrival(20 * BEAT)).isZero();
+        assertThat(barriers).isEqualTo(1);
+        pauses.onBacklogRead(20 * BEAT + 1);
+        assertThat(pauses.isCatchingUp(20 * BEAT + 2)).isFalse();
+    }
+
     /** The process is stopped again before all is read: the first barrier proves nothing. */
     @Test
     void onBacklogRead_pausedAgainMeanwhile_staysPaused() {
--- a/src/test/java/firstage/server/SystemCallFaultsIT.java
+++ b/src/test/java/firstage/server/SystemCallFaultsIT.java
@@ -1,13 +1,16 @@
 package firstage.server;
 
+import static firstage.fixtures.EngineWire.MAX_MS;
 import static firstage.fixtures.EngineWire.NO_NEWS;
 import static firstage.fixtures.EngineWire.ONE_ROW;
+import static firstage.fixtures.EngineWire.POST_STATEMENT;
 import static firstage.fixtures.ManagerSettings.LOOKUP;
 import static firstage.fixtures.ManagerSettings.REPORT;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.junit.jupiter.api.Assumptions.assumeTrue;
 
 import firstage.fixtures.BackgroundTasks;
+import firstage.fixtures.HttpMessage;
 import firstage.fixtures.ManagerFixture;
 import firstage.fixtures.QueryClient;
 import firstage.fixtures.SystemCallFaults;
@@ -20,6 +23,9 @@
     private static final int SEED = 1;
     private static final int MOMENT_MS = 60;
 
+    /** What the protocol allows a deadline at an engine beyond the client's. */
+    private static final int DEADLINE_SLACK_MS = 150;
+
     /** Of a thousand calls: some writes pass, so that reads fail, too. */
     private static final int OFTEN = 400;
 
@@ -56,6 +62,23 @@
         assertThat(faults.count(Kind.ACCEPT)).isPositive();
     }
 
+    /** A request on a connection that waits to be accepted has that much less time. */
+    @Test
+    void accept_failsForLong_engineDeadlineIsWithinClients() throws Exception {
+        engine.calls().clear();
+        faults.set(Kind.ACCEPT, SystemCallFaults.ALWAYS);
+        long sentAt = System.nanoTime();
+        try (QueryClient client = newClient()) {
+            client.sendRequest(LOOKUP, "", "SELECT 1", 5000);
+            Thread.sleep(600);
+            faults.set(Kind.ACCEPT, 0);
+            HttpMessage call = engine.awaitCall(POST_STATEMENT);
+            long deadlineMs =
+                    millisecondsSince(sentAt) + Long.parseLong(call.headers().get(MAX_MS));
+            assertThat(deadlineMs).isLessThanOrEqualTo(5000 + DEADLINE_SLACK_MS);
+        }
+    }
+
     /** Connections that time out pass for spoilt answers; five end an attempt that runs. */
     @Test
     void engineConnections_break_attemptGoesOn() throws Exception {
