SIGTERM during a pause counts from the pause's beginning

SIGKILL comes so long after SIGTERM was sent, not after it was handled: a manager that was stopped in between planned its end past it.

--- a/src/main/java/firstage/server/ManagerServer.java
+++ b/src/main/java/firstage/server/ManagerServer.java
@@ -144,9 +144,14 @@
      * then ends the program. From any thread.
      */
     public void shutDown() {
-        // Counted from the signal: a thread that is stalled just then has the less time left.
-        long signalledAt = clock.now();
-        io.execute(() -> shutdown.begin(fleet, signalledAt + config.shutdownTimeout()));
+        // Counted from the signal: a thread, or a process, that is paused just then has the less
+        // time left.
+        long handledAt = clock.now();
+        io.execute(
+                () -> {
+                    long signalledAt = Math.min(handledAt, guard.earliestArrival());
+                    shutdown.begin(fleet, signalledAt + config.shutdownTimeout());
+                });
     }
 
     private void closeAll() {
