--- a/src/main/java/firstage/emulator/EmulatedCoordinator.java
+++ b/src/main/java/firstage/emulator/EmulatedCoordinator.java
@@ -45,6 +45,7 @@
 
     private final List<Socket> connections = new ArrayList<>();
     private boolean closed;
+    private boolean silent;
 
     public EmulatedCoordinator(InetSocketAddress address) throws IOException {
         server.setReuseAddress(true);
@@ -91,6 +92,12 @@
         notifyAll();
     }
 
+    /** While silent it sends neither events nor heartbeats; they follow. */
+    public synchronized void setSilent(boolean value) {
+        silent = value;
+        notifyAll();
+    }
+
     private void serve(Socket socket) throws Exception {
         long nextEvent =
                 Math.max(1, new DataInputStream(socket.getInputStream()).readLong() + 1) - 2;
@@ -105,6 +112,9 @@
                 if (nextEvent >= events.size() && !closed) {
                     wait(HEARTBEAT_MS);
                 }
+                while (silent && !closed) {
+                    wait(HEARTBEAT_MS);
+                }
                 if (nextEvent < events.size()) {
                     nextEvent = Math.max(0, nextEvent);
                     frame = events.get((int) nextEvent++);
--- a/src/main/java/firstage/emulator/EmulatedEngine.java
+++ b/src/main/java/firstage/emulator/EmulatedEngine.java
@@ -9,6 +9,7 @@
 import firstage.simulation.RandomStreams;
 import firstage.simulation.RuleChecker;
 import firstage.simulation.RuleChecker.ClientTry;
+import firstage.util.Ticks;
 import io.undertow.UndertowOptions;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpServerExchange;
@@ -37,6 +38,7 @@
     private static final long STATEMENT_EXPIRY = 20_000;
     private static final HttpString TICKET = new HttpString("X-Ticket");
     private static final HttpString GRANT = new HttpString("Grant-Mb");
+    private static final HttpString MAX_MS = new HttpString("X-Max-Ms");
     private static final HttpString RANK = new HttpString("Rank");
     private static final HttpString PAGE_COUNT = new HttpString("Page-Count");
     private static final HttpString SHED = new HttpString("X-Shed");
@@ -53,6 +55,9 @@
 
         /** Whether the link from this manager to this engine may have delayed data recently. */
         boolean mayBeDelayed(int manager, int engine);
+
+        /** How late what arrives just now may be seen, in ticks. */
+        long lateness();
     }
 
     private final class Statement implements EngineModel.Listener {
@@ -346,6 +351,7 @@
         observer.onAttempt(clientTry, number, retry);
         rules.onAttemptSent(
                 loop.now(), clientTry, number, observer.mayBeDelayed(clientTry.manager, number));
+        observeTimes(exchange, clientTry);
         Statement statement = new Statement(id, clientTry);
         statements.put(id, statement);
         double grant = Double.parseDouble(header(exchange, GRANT, "0"));
@@ -364,6 +370,16 @@
         model.start(statement.job);
     }
 
+    /** Only where no delay on the way and no lateness of this process can explain them. */
+    private void observeTimes(HttpServerExchange exchange, ClientTry clientTry) {
+        if (observer.mayBeDelayed(clientTry.manager, number)) {
+            return;
+        }
+        long beganAt = loop.now() - observer.lateness();
+        long toldMs = Long.parseLong(header(exchange, MAX_MS, "0"));
+        rules.onAttemptTimes(beganAt, clientTry, beganAt + Ticks.ofMillis(toldMs));
+    }
+
     private static String header(HttpServerExchange exchange, HttpString name, String absent) {
         String value = exchange.getRequestHeaders().getFirst(name);
         return value == null ? absent : value;
--- a/src/main/java/firstage/emulator/FaultInjectingProxy.java
+++ b/src/main/java/firstage/emulator/FaultInjectingProxy.java
@@ -30,6 +30,7 @@
  */
 public final class FaultInjectingProxy implements AutoCloseable {
     private static final int BACKLOG = 256;
+    private static final long LATENESS_WINDOW = 2_500;
     private static final int BUFFER_BYTES = 16 * 1024;
 
     /** Above this a source is not read, so that its TCP window fills. */
@@ -49,6 +50,15 @@
     private volatile boolean closed;
     private volatile Exception failure;
 
+    /** When this thread began what it does now; 0 while it waits. */
+    private volatile long busySince;
+
+    /** The longest of the rounds that ended in this window and in the one before. */
+    private volatile long currentPeak;
+
+    private volatile long previousPeak;
+    private long windowStart;
+
     private record TimedTask(long due, Runnable task) {}
 
     /** How an endpoint answers new connections. */
@@ -97,6 +107,7 @@
                 } else {
                     selector.selectNow();
                 }
+                busySince = now();
                 for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
                     task.run();
                 }
@@ -108,6 +119,7 @@
                     ((ReadyHandler) key.attachment()).onReady(key);
                 }
                 ready.clear();
+                recordRound();
             } catch (CancelledKeyException gone) {
                 selector.selectedKeys().clear();
             } catch (IOException | RuntimeException ended) {
@@ -118,6 +130,23 @@
         }
     }
 
+    private void recordRound() {
+        long now = now();
+        if (now - windowStart > LATENESS_WINDOW) {
+            windowStart = now;
+            previousPeak = currentPeak;
+            currentPeak = 0;
+        }
+        currentPeak = Math.max(currentPeak, now - busySince);
+        busySince = 0;
+    }
+
+    /** How long a round took at most in the last quarter of a second, in ticks. */
+    public long recentLateness() {
+        long since = busySince;
+        return Math.max(since == 0 ? 0 : now() - since, Math.max(currentPeak, previousPeak));
+    }
+
     /** What ended the proxy prematurely; null if it works. */
     public Exception failure() {
         return failure;
@@ -175,6 +204,11 @@
                     });
         }
 
+        /** Resets all connections that are open; new ones are accepted as before. */
+        public void resetConnections() {
+            execute(() -> List.copyOf(connections).forEach(Connection::reset));
+        }
+
         /** To be called after one of its links was cut or repaired. */
         public void onLinkChanged() {
             execute(
--- a/src/main/java/firstage/emulator/RealTimeLoop.java
+++ b/src/main/java/firstage/emulator/RealTimeLoop.java
@@ -1,6 +1,7 @@
 package firstage.emulator;
 
 import firstage.simulation.EventQueue;
+import firstage.util.Ticks;
 import java.io.IOException;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
@@ -23,6 +24,7 @@
     public static final long START = 1_000_000;
 
     private static final long TICK_MS = 1;
+    private static final long LATENESS_WINDOW_NS = 250_000_000;
     private static final long MAX_LATENESS_US = 60_000_000;
     private final XnioWorker worker;
     private final XnioIoThread ioThread;
@@ -31,6 +33,13 @@
     private final long startMs = System.currentTimeMillis();
     private final Histogram lateness = new Histogram(MAX_LATENESS_US, 2);
     private volatile boolean closed;
+    private volatile long lastTickNs = System.nanoTime();
+
+    /** The largest lateness of this window and of the one before, in ticks. */
+    private volatile long currentPeak;
+
+    private volatile long previousPeak;
+    private long windowStartNs = System.nanoTime();
 
     public RealTimeLoop() throws IOException {
         worker =
@@ -106,10 +115,28 @@
         lateness.recordValue(
                 Math.min(MAX_LATENESS_US, Math.max(0, (System.nanoTime() - scheduledNs) / 1_000)));
         events.runUntil(now());
+        recordPeak(scheduledNs);
         long nextNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TICK_MS);
         ioThread.executeAfter(() -> tick(nextNs), TICK_MS, TimeUnit.MILLISECONDS);
     }
 
+    private void recordPeak(long scheduledNs) {
+        long nowNs = System.nanoTime();
+        if (nowNs - windowStartNs > LATENESS_WINDOW_NS) {
+            windowStartNs = nowNs;
+            previousPeak = currentPeak;
+            currentPeak = 0;
+        }
+        currentPeak = Math.max(currentPeak, Ticks.ofNanos(nowNs - scheduledNs));
+        lastTickNs = nowNs;
+    }
+
+    /** How late this thread ran at most in the last quarter of a second, in ticks. */
+    public long recentLateness() {
+        return Math.max(
+                Ticks.ofNanos(System.nanoTime() - lastTickNs), Math.max(currentPeak, previousPeak));
+    }
+
     /** How late this thread ran, in microseconds. A run on an overloaded machine proves nothing. */
     public Histogram lateness() {
         return lateness;
--- a/src/main/java/firstage/faulttest/EngineFaults.java
+++ b/src/main/java/firstage/faulttest/EngineFaults.java
@@ -21,6 +21,11 @@
     /** An unresponsive engine leaves the endpoint list this many times later than a dead one. */
     private static final int SILENCE_DETECTION_FACTOR = 3;
 
+    private static final long MAX_SILENCE = Ticks.ofSeconds(7);
+
+    /** Until when the coordinator of each manager says nothing. */
+    private final long[] silentUntil;
+
     private final FleetPlan plan;
     private final LoopbackAddresses addresses;
     private final RealTimeLoop loop;
@@ -42,6 +47,7 @@
             List<EmulatedCoordinator> coordinators,
             NetworkLinks links) {
         this.plan = plan;
+        silentUntil = new long[plan.managers().count()];
         this.addresses = addresses;
         this.loop = loop;
         this.clock = clock;
@@ -52,6 +58,27 @@
         this.links = links;
     }
 
+    /**
+     * A manager's coordinator says nothing for so many ticks.
+     *
+     * @throws IllegalArgumentException where that is longer than what it has to tell may be late
+     */
+    void silenceCoordinator(int manager, long ticks) {
+        if (ticks > MAX_SILENCE) {
+            throw new IllegalArgumentException("silent for " + ticks + " ticks");
+        }
+        coordinators.get(manager).setSilent(true);
+        silentUntil[manager] = Math.max(silentUntil[manager], loop.events().now() + ticks);
+        loop.events()
+                .schedule(
+                        ticks,
+                        () -> {
+                            if (loop.events().now() >= silentUntil[manager]) {
+                                coordinators.get(manager).setSilent(false);
+                            }
+                        });
+    }
+
     /** The process dies: connections break, new ones are refused. */
     void die(int engine, long ticks, RandomGenerator random) {
         takeDown(engine, EngineModel.State.DOWN, ticks, 1, random);
@@ -136,8 +163,15 @@
         if (stale) {
             return;
         }
-        rules.onEndpointUpdate(loop.now(), manager, engine, lifecycle == Lifecycle.ACTIVE);
-        rules.onEngineStartTold(manager, engine, startedAt);
+        // What a coordinator has to tell counts as told when it tells it, 7 s later at the latest.
+        loop.events()
+                .schedule(
+                        Math.max(0, silentUntil[manager] - loop.events().now()),
+                        () -> {
+                            rules.onEndpointUpdate(
+                                    loop.now(), manager, engine, lifecycle == Lifecycle.ACTIVE);
+                            rules.onEngineStartTold(manager, engine, startedAt);
+                        });
         coordinators
                 .get(manager)
                 .publish(
--- a/src/main/java/firstage/faulttest/FaultTestRun.java
+++ b/src/main/java/firstage/faulttest/FaultTestRun.java
@@ -9,11 +9,14 @@
 import firstage.simulation.InvalidPlanException;
 import firstage.simulation.RandomStreams;
 import firstage.simulation.RuleChecker;
+import firstage.simulation.RuleChecker.ClientTry;
 import firstage.simulation.Scoreboard;
 import firstage.util.Ticks;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -39,6 +42,7 @@
     private static final int CHECK_INTERVAL_MS = 500;
 
     private final FaultTestSpec spec;
+    private final FaultTestExtension extension;
     private final FleetPlan plan;
     private final RandomStreams randomStreams;
     private final ServerSocket portLock;
@@ -64,8 +68,9 @@
     private LoadGenerator generator;
     private Scoreboard scoreboard;
 
-    private FaultTestRun(FaultTestSpec spec) throws IOException {
+    private FaultTestRun(FaultTestSpec spec, FaultTestExtension extension) throws IOException {
         this.spec = spec;
+        this.extension = extension;
         plan = spec.plan();
         randomStreams = new RandomStreams(spec.seed());
         portLock = LoopbackAddresses.reservePort();
@@ -81,7 +86,8 @@
                         spec.folder(),
                         ManagerProcesses.processListFolder().resolve(addresses.port() + ".held"),
                         ManagerProcesses.command(spec.serveCommand(), spec.jar()),
-                        plan.managers().count());
+                        plan.managers().count(),
+                        extension::environment);
         links = new NetworkLinks(proxy, plan, addresses);
         observer = new RunObserver(plan, loop, clock, recorder, links);
     }
@@ -103,7 +109,13 @@
 
     /** Plays it to its end; all processes that it started have ended when it returns. */
     public static FaultTestResult play(FaultTestSpec spec) throws IOException {
-        try (FaultTestRun run = new FaultTestRun(spec)) {
+        return play(spec, FaultTestExtension.NONE);
+    }
+
+    /** The same, with clients and faults beside the plan's. */
+    public static FaultTestResult play(FaultTestSpec spec, FaultTestExtension extension)
+            throws IOException {
+        try (FaultTestRun run = new FaultTestRun(spec, extension)) {
             return run.play();
         }
     }
@@ -124,6 +136,7 @@
                                     clock.elapsed() / 1e4,
                                     plan.length() / 1e4));
         }
+        extension.awaitEnd();
         double processorSeconds = managers.shutDownAll();
         return loop.call(() -> conclude(processorSeconds));
     }
@@ -170,10 +183,15 @@
                 addresses.engine(engine),
                 randomStreams,
                 rules,
-                id -> generator == null ? null : generator.tryById(id),
+                this::tryById,
                 observer);
     }
 
+    private ClientTry tryById(String id) {
+        ClientTry own = generator == null ? null : generator.tryById(id);
+        return own == null ? extension.tryById(id) : own;
+    }
+
     private void startManagers() throws IOException {
         int count = plan.managers().count();
         for (int from = 0; from < count; from += STARTED_TOGETHER) {
@@ -210,12 +228,16 @@
                         recorder,
                         processes,
                         generator,
+                        extension,
                         blockingTasks);
         clock.start(loop.events().now());
         recorder.writeEvent(
                 0, "begins", "plan", plan.name(), "seed", spec.seed(), "peers", spec.withPeers());
         generator.start();
-        newFaultInjector().scheduleAll(randomStreams);
+        EngineFaults engineFaults = newEngineFaults();
+        new FaultInjector(plan, loop, clock, recorder, managers, engineFaults, links, generator)
+                .scheduleAll(randomStreams);
+        extension.begin(new ExtendedTest(engineFaults));
         long longestTimeout =
                 plan.trafficClasses().stream()
                         .mapToLong(FleetPlan.TrafficClassPlan::timeout)
@@ -224,25 +246,79 @@
         return clock.startedAt() + plan.length() + longestTimeout + ANSWER_SLACK;
     }
 
-    private FaultInjector newFaultInjector() {
-        EngineFaults engineFaults =
-                new EngineFaults(
-                        plan,
-                        addresses,
-                        loop,
-                        clock,
-                        recorder,
-                        rules,
-                        engines,
-                        coordinators,
-                        links);
-        return new FaultInjector(
-                plan, loop, clock, recorder, managers, engineFaults, links, generator);
+    /** What the extension sees of this run. */
+    private final class ExtendedTest implements FaultTestExtension.RunningTest {
+        private final EngineFaults engineFaults;
+
+        private ExtendedTest(EngineFaults engineFaults) {
+            this.engineFaults = engineFaults;
+        }
+
+        @Override
+        public FleetPlan plan() {
+            return plan;
+        }
+
+        @Override
+        public long seed() {
+            return spec.seed();
+        }
+
+        @Override
+        public Path folder() {
+            return spec.folder();
+        }
+
+        @Override
+        public RealTimeLoop loop() {
+            return loop;
+        }
+
+        @Override
+        public RuleChecker rules() {
+            return rules;
+        }
+
+        @Override
+        public long elapsed() {
+            return clock.elapsed();
+        }
+
+        @Override
+        public InetSocketAddress managerAddress(int manager) {
+            return addresses.manager(manager);
+        }
+
+        @Override
+        public void signal(int manager, String name) {
+            managers.signal(manager, name);
+        }
+
+        @Override
+        public void resetConnections(int engine) {
+            links.resetConnections(engine);
+        }
+
+        @Override
+        public void silenceCoordinator(int manager, long ticks) {
+            engineFaults.silenceCoordinator(manager, ticks);
+        }
+
+        @Override
+        public void record(String event, Object... fields) {
+            recorder.writeEvent(clock.elapsed(), event, fields);
+        }
+    }
+
+    private EngineFaults newEngineFaults() {
+        return new EngineFaults(
+                plan, addresses, loop, clock, recorder, rules, engines, coordinators, links);
     }
 
     private FaultTestResult conclude(double processorSeconds) throws IOException {
         List<String> violations = new ArrayList<>(rules.violations());
         violations.addAll(managers.unexpectedEnds());
+        violations.addAll(extension.violations());
         FaultTestResult result =
                 new ResultEvaluator(plan, recorder, scoreboard, loop, proxy)
                         .evaluate(processorSeconds, violations);
--- a/src/main/java/firstage/faulttest/ManagerController.java
+++ b/src/main/java/firstage/faulttest/ManagerController.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
 
 /**
@@ -18,6 +19,8 @@
     private static final long SHUTDOWN_TIMEOUT_MS = 8_000;
     private static final long GRACEFUL_STOP_TIMEOUT_MS = 30_000;
 
+    private static final long RESTART_CHECK_MS = 20;
+
     /** From SIGTERM until the clients' load balancer begins to notice that the manager leaves. */
     private static final long STOP_ANNOUNCED_AFTER = Ticks.ofMillis(300);
 
@@ -29,8 +32,10 @@
     private final RunRecorder recorder;
     private final ManagerProcesses processes;
     private final LoadGenerator generator;
+    private final FaultTestExtension extension;
     private final Executor blockingTasks;
     private final boolean[] endExpected;
+    private final AtomicInteger restartsPending = new AtomicInteger();
     private final List<String> unexpectedEnds = new ArrayList<>();
 
     /** {@code blockingTasks} runs what waits for a process. */
@@ -42,6 +47,7 @@
             RunRecorder recorder,
             ManagerProcesses processes,
             LoadGenerator generator,
+            FaultTestExtension extension,
             Executor blockingTasks) {
         plan = spec.plan();
         withPeers = spec.withPeers();
@@ -51,6 +57,7 @@
         this.recorder = recorder;
         this.processes = processes;
         this.generator = generator;
+        this.extension = extension;
         this.blockingTasks = blockingTasks;
         endExpected = new boolean[plan.managers().count()];
     }
@@ -68,7 +75,11 @@
                                 + " ms with "
                                 + processes.exitStatus(m));
                 int manager = m;
-                loop.execute(() -> generator.onManagerKilled(manager));
+                loop.execute(
+                        () -> {
+                            generator.onManagerKilled(manager);
+                            extension.onManagerEnding(manager, true);
+                        });
             }
         }
     }
@@ -88,15 +99,19 @@
     void pause(int manager, long ticks) {
         signal(manager, "STOP");
         generator.onManagerPaused(manager, loop.events().now() + ticks);
+        extension.onManagerPaused(manager, loop.events().now() + ticks);
         loop.events().schedule(ticks, () -> signal(manager, "CONT"));
     }
 
     /** Kills a manager and restarts it after the plan's restart time. */
     void kill(int manager, RandomGenerator random) {
-        if (processes.isAlive(manager)) {
+        // One that ends by order is started again once.
+        if (processes.isAlive(manager) && !endExpected[manager]) {
             endExpected[manager] = true;
-            processes.kill(manager);
+            // Told first: its connections end before this thread goes on.
             generator.onManagerKilled(manager);
+            extension.onManagerEnding(manager, true);
+            processes.kill(manager);
             recorder.writeEvent(clock.elapsed(), "killed", "manager", manager);
             restartLater(manager, random);
         }
@@ -104,9 +119,10 @@
 
     /** Shuts a manager down by SIGTERM and restarts it after the plan's restart time. */
     void stop(int manager, RandomGenerator random) {
-        if (processes.isAlive(manager)) {
+        if (processes.isAlive(manager) && !endExpected[manager]) {
             endExpected[manager] = true;
             signal(manager, "TERM");
+            extension.onManagerEnding(manager, false);
             loop.events()
                     .schedule(
                             STOP_ANNOUNCED_AFTER,
@@ -134,6 +150,7 @@
     }
 
     private void restartLater(int manager, RandomGenerator random) {
+        restartsPending.incrementAndGet();
         loop.events()
                 .schedule(
                         plan.managers().restartTime().drawTime(random),
@@ -147,12 +164,15 @@
             loop.execute(() -> onRestarted(manager));
         } catch (IOException failure) {
             loop.execute(() -> unexpectedEnds.add(failure.getMessage()));
+        } finally {
+            restartsPending.decrementAndGet();
         }
     }
 
     private void onRestarted(int manager) {
         endExpected[manager] = false;
         generator.onManagerStateChanged(manager, true);
+        extension.onManagerUp(manager);
         recorder.writeEvent(
                 clock.elapsed(),
                 "serves",
@@ -164,6 +184,7 @@
 
     /** Ends all managers by SIGTERM and returns the processor time that they used, s. */
     double shutDownAll() throws IOException {
+        awaitRestarts();
         double processorSeconds = 0;
         for (int m = 0; m < endExpected.length; m++) {
             processorSeconds += processes.processorSeconds(m);
@@ -193,6 +214,19 @@
         return processorSeconds;
     }
 
+    /** A process that starts can't take a signal yet. */
+    private void awaitRestarts() {
+        long deadlineNs = System.nanoTime() + GRACEFUL_STOP_TIMEOUT_MS * 1_000_000;
+        while (restartsPending.get() > 0 && System.nanoTime() < deadlineNs) {
+            try {
+                Thread.sleep(RESTART_CHECK_MS);
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+
     /** Processes that ended otherwise than ordered, and orders that failed. */
     List<String> unexpectedEnds() {
         return unexpectedEnds;
--- a/src/main/java/firstage/faulttest/ManagerProcesses.java
+++ b/src/main/java/firstage/faulttest/ManagerProcesses.java
@@ -10,8 +10,10 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntFunction;
 
 /**
  * The managers' processes: starts, signals and ends them by id, also when the tool itself is
@@ -25,10 +27,22 @@
     private final Path folder;
     private final Path processListFile;
     private final List<String> command;
+    private final IntFunction<Map<String, String>> environment;
     private final Thread shutdownHook = new Thread(this::endAll, "end of the fault test");
 
     /** {@code command}: starts a manager; the environment names its configuration file. */
     public ManagerProcesses(Path folder, Path processListFile, List<String> command, int count) {
+        this(folder, processListFile, command, count, manager -> Map.of());
+    }
+
+    /** The same; {@code environment}: more variables, by manager. */
+    ManagerProcesses(
+            Path folder,
+            Path processListFile,
+            List<String> command,
+            int count,
+            IntFunction<Map<String, String>> environment) {
+        this.environment = environment;
         this.folder = folder;
         this.processListFile = processListFile;
         this.command = command;
@@ -78,6 +92,7 @@
         }
         ProcessBuilder builder = new ProcessBuilder(words);
         builder.environment().put("ROUTER_CONFIG", configFile(folder, manager).toString());
+        builder.environment().putAll(environment.apply(manager));
         processes.set(
                 manager,
                 builder.redirectErrorStream(true)
--- a/src/main/java/firstage/faulttest/NetworkLinks.java
+++ b/src/main/java/firstage/faulttest/NetworkLinks.java
@@ -74,6 +74,18 @@
         }
     }
 
+    /** Resets the connections of all managers to an engine. */
+    void resetConnections(int engine) {
+        for (FaultInjectingProxy.Endpoint[] ofManager : endpoints) {
+            ofManager[engine].resetConnections();
+        }
+    }
+
+    /** How late the proxy passed data on at most in the last quarter of a second, in ticks. */
+    long recentLateness() {
+        return proxy.recentLateness();
+    }
+
     /** Whether the link to the engine is or was faulty within the last {@code ticks}. */
     boolean toEngineFaultyWithin(int manager, int engine, long ticks) {
         return toEngine[manager][engine].faultyWithin(ticks);
--- a/src/main/java/firstage/faulttest/RunObserver.java
+++ b/src/main/java/firstage/faulttest/RunObserver.java
@@ -122,6 +122,11 @@
         return links.toEngineFaultyWithin(manager, engine, DELAYED_BY_LINK);
     }
 
+    @Override
+    public long lateness() {
+        return loop.recentLateness() + links.recentLateness();
+    }
+
     @Override
     public void onProbe(int engine) {
         recorder.add(clock.elapsed(), "probes", 1);
--- a/src/main/java/firstage/simulation/TrueRequest.java
+++ b/src/main/java/firstage/simulation/TrueRequest.java
@@ -29,7 +29,10 @@
     public int tries;
     public boolean succeeded;
 
-    TrueRequest(
+    /**
+     * Times are ticks; {@code estimatedWork} and {@code estimatedMemoryMb} are what clients tell.
+     */
+    public TrueRequest(
             long id,
             int trafficClass,
             int tenant,
--- /dev/null
+++ b/src/test/java/firstage/soak/FaultSoak.java
@@ -0,0 +1,472 @@
+package firstage.soak;
+
+import firstage.faulttest.FaultTestExtension;
+import firstage.faulttest.FaultTestResult;
+import firstage.faulttest.FaultTestRun;
+import firstage.faulttest.FaultTestSpec;
+import firstage.fixtures.HttpMessage;
+import firstage.fixtures.SystemCallFaults;
+import firstage.simulation.RandomStreams;
+import firstage.simulation.RuleChecker.ClientTry;
+import firstage.simulation.TrueRequest;
+import firstage.soak.ClientScript.Departure;
+import firstage.soak.SoakPlan.ExtraFault;
+import firstage.util.Ticks;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
+
+/** Plays the soak of one seed: its clients and faults beside a fault test, and its oracle. */
+final class FaultSoak implements FaultTestExtension, SoakClient.Environment {
+    private static final String SERVE_COMMAND =
+            "java -Xmx64m -Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=1"
+                    + " -Djava.util.logging.config.file=src/test/resources/trace-logging.properties"
+                    + " -jar target/firstage.jar serve";
+
+    /** New connections come for so long after a SIGTERM. */
+    private static final long FRONT_STOPS_AFTER = Ticks.ofMillis(400);
+
+    private static final long FIRST_REQUEST_ID = 1_000_000_000L;
+    private static final int CLIENT_PATIENCE_MS = 25_000;
+    private static final long PAUSE_GAP_FACTOR = 2;
+    private static final int MB = 200;
+
+    /** What a seed showed. */
+    record Report(
+            long seed,
+            FaultTestResult result,
+            List<String> violations,
+            Map<String, Integer> faults,
+            int requests,
+            int departures,
+            int refusedSends,
+            int staleSends) {}
+
+    private final SoakPlan plan;
+    private final long seed;
+    private final Path folder;
+    private final String serveCommand;
+    private final Map<Integer, SystemCallFaults> systemCalls = new TreeMap<>();
+    private final Map<String, ClientTry> triesById = new ConcurrentHashMap<>();
+    private final Map<String, Integer> faultCounts = new ConcurrentHashMap<>();
+    private final List<Thread> threads = new ArrayList<>();
+    private final List<Process> busyProcesses = new ArrayList<>();
+    private final AtomicInteger requests = new AtomicInteger();
+    private final AtomicInteger departures = new AtomicInteger();
+    private final Map<Integer, Long> pausedUntil = new ConcurrentHashMap<>();
+    private final Map<Integer, Long> killedAt = new ConcurrentHashMap<>();
+    private final Set<Integer> dying = ConcurrentHashMap.newKeySet();
+    private final Map<Integer, Long> endingSince = new ConcurrentHashMap<>();
+    private final List<ClientTry> openTries = new ArrayList<>();
+    private RunningTest test;
+
+    private FaultSoak(SoakPlan plan, long seed, Path folder, String serveCommand) {
+        this.plan = plan;
+        this.seed = seed;
+        this.folder = folder;
+        this.serveCommand = serveCommand;
+    }
+
+    /** Plays a seed with the packaged program. */
+    static Report play(long seed, int managers, Path folder) throws IOException {
+        return play(seed, managers, folder, SERVE_COMMAND);
+    }
+
+    /**
+     * Plays a seed.
+     *
+     * @param serveCommand starts a manager; the packaged program, or one with a defect
+     */
+    static Report play(long seed, int managers, Path folder, String serveCommand)
+            throws IOException {
+        SoakPlan plan = SoakPlan.draw(seed, managers);
+        deleteRecursively(folder);
+        Files.createDirectories(folder);
+        Files.writeString(folder.resolve("plan.toml"), plan.text());
+        FaultSoak soak = new FaultSoak(plan, seed, folder, serveCommand);
+        soak.createSystemCallFaults();
+        FaultTestResult result =
+                FaultTestRun.play(
+                        new FaultTestSpec(
+                                plan.plan(),
+                                seed,
+                                folder,
+                                Path.of("target", "firstage.jar").toAbsolutePath(),
+                                serveCommand,
+                                false,
+                                line -> {}),
+                        soak);
+        return soak.report(result);
+    }
+
+    private static void deleteRecursively(Path folder) throws IOException {
+        if (Files.exists(folder)) {
+            try (Stream<Path> files = Files.walk(folder)) {
+                for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(file);
+                }
+            }
+        }
+    }
+
+    static String serveCommand() {
+        return SERVE_COMMAND;
+    }
+
+    private void createSystemCallFaults() throws IOException {
+        if (SystemCallFaults.available()) {
+            for (int m = 0; m < plan.plan().managers().count(); m++) {
+                systemCalls.put(
+                        m,
+                        SystemCallFaults.create(
+                                folder, "m" + m, folder.resolve("lasting"), seed * 1_000 + m));
+            }
+        }
+    }
+
+    @Override
+    public Map<String, String> environment(int manager) {
+        return systemCalls.containsKey(manager) ? systemCalls.get(manager).environment() : Map.of();
+    }
+
+    @Override
+    public void begin(RunningTest running) {
+        test = running;
+        String idPrefix =
+                String.format(
+                        Locale.ROOT, "%08x", (int) new RandomStreams(seed).seed("soak tickets", 0));
+        for (ClientScript script : plan.clients()) {
+            running.loop()
+                    .events()
+                    .schedule(
+                            Math.max(1, Ticks.ofMillis(script.startMs())),
+                            () -> start(new SoakClient(this, script, idPrefix)));
+        }
+        for (ExtraFault fault : plan.extraFaults()) {
+            running.loop().events().schedule(Ticks.ofMillis(fault.atMs()), () -> inject(fault));
+        }
+    }
+
+    private void start(Runnable client) {
+        Thread thread = new Thread(client, "soak client");
+        thread.setDaemon(true);
+        threads.add(thread);
+        thread.start();
+    }
+
+    private void inject(ExtraFault fault) {
+        test.record(
+                "extra fault",
+                "kind",
+                fault.kind().name(),
+                "call",
+                String.valueOf(fault.systemCall()),
+                "subject",
+                fault.subject(),
+                "length_ms",
+                fault.lengthMs(),
+                "value",
+                fault.value());
+        switch (fault.kind()) {
+            case SYSTEM_CALLS -> failSystemCalls(fault);
+            case RESET_ENGINE_CONNECTIONS -> test.resetConnections(fault.subject());
+            case SILENT_COORDINATOR ->
+                    test.silenceCoordinator(fault.subject(), Ticks.ofMillis(fault.lengthMs()));
+            case RELOADS -> {
+                for (int i = 0; i < fault.value(); i++) {
+                    test.signal(fault.subject(), "HUP");
+                }
+            }
+            case PAUSES -> pauseAgain(fault, fault.value());
+            case IDLE_CROWD -> start(() -> crowd(fault));
+            case BUSY_PROCESSES -> startBusyProcesses(fault);
+        }
+        faultCounts.merge(fault.kind().name(), 1, Integer::sum);
+    }
+
+    private void failSystemCalls(ExtraFault fault) {
+        SystemCallFaults faults = systemCalls.get(fault.subject());
+        if (faults != null) {
+            faults.set(fault.systemCall(), fault.value());
+            test.loop()
+                    .events()
+                    .schedule(
+                            Ticks.ofMillis(fault.lengthMs()),
+                            () -> faults.set(fault.systemCall(), 0));
+        }
+    }
+
+    private void pauseAgain(ExtraFault fault, int times) {
+        long length = Ticks.ofMillis(fault.lengthMs());
+        test.signal(fault.subject(), "STOP");
+        onManagerPaused(fault.subject(), test.loop().now() + length);
+        test.loop()
+                .events()
+                .schedule(
+                        length,
+                        () -> {
+                            test.signal(fault.subject(), "CONT");
+                            if (times > 1) {
+                                test.loop()
+                                        .events()
+                                        .schedule(
+                                                length / PAUSE_GAP_FACTOR + 1,
+                                                () -> pauseAgain(fault, times - 1));
+                            }
+                        });
+    }
+
+    private void crowd(ExtraFault fault) {
+        List<Socket> idle = new ArrayList<>();
+        try {
+            for (int i = 0; i < fault.value(); i++) {
+                idle.add(connect(fault.subject(), CLIENT_PATIENCE_MS, true));
+            }
+            Thread.sleep(fault.lengthMs());
+        } catch (IOException refused) {
+            // The manager ends.
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        idle.forEach(FaultSoak::closeQuietly);
+    }
+
+    private static void closeQuietly(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException closed) {
+            // Closed either way.
+        }
+    }
+
+    private void startBusyProcesses(ExtraFault fault) {
+        try {
+            for (int i = 0; i < fault.value(); i++) {
+                busyProcesses.add(
+                        new ProcessBuilder(
+                                        "timeout",
+                                        String.valueOf(1 + fault.lengthMs() / 1_000),
+                                        "sh",
+                                        "-c",
+                                        "while :; do :; done")
+                                .start());
+            }
+        } catch (IOException missing) {
+            // Without them the machine is as busy as it is.
+        }
+    }
+
+    // ---- What the fault test tells.
+
+    @Override
+    public ClientTry tryById(String id) {
+        return triesById.get(id);
+    }
+
+    @Override
+    public void onManagerPaused(int manager, long until) {
+        pausedUntil.merge(manager, until, Math::max);
+    }
+
+    @Override
+    public void onManagerEnding(int manager, boolean killed) {
+        long now = test.loop().now();
+        endingSince.put(manager, now);
+        if (killed) {
+            dying.add(manager);
+            killedAt.put(manager, now);
+            synchronized (openTries) {
+                openTries.stream()
+                        .filter(open -> open.manager == manager && open.answers() == 0)
+                        .forEach(test.rules()::onNeverAccepted);
+            }
+        }
+    }
+
+    @Override
+    public void onManagerUp(int manager) {
+        endingSince.remove(manager);
+        dying.remove(manager);
+    }
+
+    @Override
+    public void awaitEnd() {
+        long until = System.nanoTime() + CLIENT_PATIENCE_MS * 1_000_000L;
+        for (Thread thread : List.copyOf(threads)) {
+            try {
+                thread.join(Math.max(1, (until - System.nanoTime()) / 1_000_000));
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        busyProcesses.forEach(Process::destroy);
+        systemCalls
+                .values()
+                .forEach(
+                        faults -> {
+                            for (SystemCallFaults.Kind kind : SystemCallFaults.Kind.values()) {
+                                faults.set(kind, 0);
+                                faultCounts.merge("CALL_" + kind, faults.count(kind), Integer::sum);
+                            }
+                        });
+    }
+
+    // ---- What clients ask for; from their threads.
+
+    @Override
+    public long now() {
+        return test.loop().now();
+    }
+
+    @Override
+    public Socket connect(int manager, int timeoutMs, boolean anew) throws IOException {
+        Long ending = endingSince.get(manager);
+        if (anew && ending != null && now() - ending > FRONT_STOPS_AFTER) {
+            throw new ConnectException("the front sends it nothing more");
+        }
+        Socket socket = new Socket();
+        socket.setTcpNoDelay(true);
+        socket.connect(test.managerAddress(manager), timeoutMs);
+        return socket;
+    }
+
+    @Override
+    public ClientTry open(ClientScript script, String id, long deadline) {
+        int number = requests.incrementAndGet();
+        RandomGenerator random = new RandomStreams(seed).stream("work", number);
+        TrueRequest request =
+                new TrueRequest(
+                        FIRST_REQUEST_ID + number,
+                        script.trafficClass(),
+                        0,
+                        -1,
+                        1 + random.nextInt(3),
+                        now(),
+                        deadline,
+                        Ticks.ofMillis(script.workMs()),
+                        MB,
+                        Ticks.ofMillis(script.workMs()),
+                        MB);
+        ClientTry clientTry = new ClientTry(request, script.manager(), deadline);
+        clientTry.setDeadlineExact();
+        triesById.put(id, clientTry);
+        synchronized (openTries) {
+            openTries.add(clientTry);
+        }
+        return clientTry;
+    }
+
+    @Override
+    public void left(ClientTry clientTry, Departure departure, long at) {
+        if (departure != Departure.STAYS) {
+            departures.incrementAndGet();
+        }
+        test.loop()
+                .execute(
+                        () -> {
+                            clientTry.leave(at);
+                            test.record(
+                                    "left",
+                                    "batch",
+                                    clientTry.request.id,
+                                    "manager",
+                                    clientTry.manager,
+                                    "how",
+                                    departure.name());
+                        });
+    }
+
+    @Override
+    public void answered(ClientTry clientTry, HttpMessage answer) {
+        boolean rejected = answer.status() == 503 || answer.status() == 429;
+        long at = now();
+        long allowed = Math.max(0, pausedUntil(clientTry.manager) - clientTry.deadline);
+        test.loop()
+                .execute(
+                        () -> {
+                            // Half a second late an answer earns nothing, and is no break.
+                            clientTry.allowPause(allowed + Ticks.ofMillis(500));
+                            test.rules().onAnswered(at, clientTry, rejected);
+                        });
+    }
+
+    @Override
+    public void notAccepted(ClientTry clientTry) {
+        test.loop().execute(() -> test.rules().onNeverAccepted(clientTry));
+    }
+
+    @Override
+    public void violation(ClientTry clientTry, String how) {
+        long at = test.elapsed();
+        test.loop()
+                .execute(
+                        () ->
+                                test.rules()
+                                        .addViolation(
+                                                "rule 1 at "
+                                                        + at / 10
+                                                        + " ms: batch "
+                                                        + clientTry.request.id
+                                                        + " at manager "
+                                                        + clientTry.manager
+                                                        + " "
+                                                        + how));
+    }
+
+    @Override
+    public long pausedUntil(int manager) {
+        return pausedUntil.getOrDefault(manager, 0L);
+    }
+
+    @Override
+    public boolean endedSince(int manager, long since) {
+        // A process that is killed accepts connections until its last moment.
+        return killedAt.getOrDefault(manager, -1L) >= since || dying.contains(manager);
+    }
+
+    // ---- What is reported.
+
+    private Report report(FaultTestResult result) throws IOException {
+        List<String> violations = new ArrayList<>(result.violations());
+        int refused = 0;
+        int stale = 0;
+        try (Stream<Path> logs = Files.list(folder.resolve("logs"))) {
+            for (Path log : logs.sorted().toList()) {
+                for (String line : Files.readAllLines(log)) {
+                    if (line.contains("violation: ")
+                            || line.contains("broken: ")
+                            || line.contains("unexpected exception")) {
+                        violations.add(log.getFileName() + ": " + line);
+                    }
+                    refused += line.contains(" SEND_REFUSED ") ? 1 : 0;
+                    stale += line.contains("statements sent on stale knowledge") ? 1 : 0;
+                }
+            }
+        }
+        plan.plan()
+                .faults()
+                .forEach(fault -> faultCounts.merge(fault.kind().name(), 1, Integer::sum));
+        return new Report(
+                seed,
+                result,
+                violations,
+                new TreeMap<>(faultCounts),
+                requests.get(),
+                departures.get(),
+                refused,
+                stale);
+    }
+}
--- /dev/null
+++ b/src/test/java/firstage/soak/FaultSoakIT.java
@@ -0,0 +1,51 @@
+package firstage.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import firstage.fixtures.SystemCallFaults;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Many managers under faults that overlap, seeded: nothing is sent for a client that left, and
+ * every other request has one final answer. By hand, more of it: {@code mvn -B verify
+ * -Dit.test=FaultSoakIT -Dsoak.first=1 -Dsoak.count=50 -Dsoak.managers=16}.
+ */
+class FaultSoakIT {
+    private static final long FIRST_SEED = Long.getLong("soak.first", 1);
+    private static final int SEEDS = Integer.getInteger("soak.count", 3);
+    private static final int MANAGERS = Integer.getInteger("soak.managers", 10);
+    private static final Path RECORDS = Path.of("target", "soak");
+
+    /**
+     * Requests sent on after their clients left, closed over or never answered, under any fault.
+     */
+    @Test
+    void seeds_overlappingFaults_noViolation() throws IOException {
+        if (!SystemCallFaults.available()) {
+            System.out.println("soak: PARTIAL: no C compiler, no system call fails");
+        }
+        List<String> violations = new ArrayList<>();
+        for (long seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+            FaultSoak.Report report =
+                    FaultSoak.play(seed, MANAGERS, RECORDS.resolve("seed-" + seed));
+            System.out.printf(
+                    "soak: seed=%d requests=%d departures=%d refusedSends=%d violations=%d"
+                            + " void=%s faults=%s%n",
+                    seed,
+                    report.requests(),
+                    report.departures(),
+                    report.refusedSends(),
+                    report.violations().size(),
+                    report.result().voidReason().orElse("no"),
+                    report.faults());
+            for (String violation : report.violations()) {
+                violations.add("seed " + seed + ": " + violation);
+            }
+        }
+        assertThat(violations).isEmpty();
+    }
+}
--- /dev/null
+++ b/src/test/java/firstage/soak/SoakClient.java
@@ -0,0 +1,338 @@
+package firstage.soak;
+
+import firstage.fixtures.ClientWire;
+import firstage.fixtures.HttpMessage;
+import firstage.simulation.RuleChecker.ClientTry;
+import firstage.soak.ClientScript.Departure;
+import firstage.util.Ticks;
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+/**
+ * Plays one script on sockets of its own. What it notes are its own times: when its request's last
+ * byte was written, and when it had left at the latest.
+ */
+final class SoakClient implements Runnable {
+    private static final int CONNECT_TIMEOUT_MS = 2_000;
+
+    /** After its time an answer earns nothing, and after this more it is lost. */
+    private static final long LOST_AFTER_MS = 500;
+
+    /** A request that crosses the close of its resting connection this soon is sent again. */
+    private static final long CROSSING_MS = 50;
+
+    private static final int MAX_POLLS_AGAIN = 3;
+    private static final long VANISHED_FOR_MS = 3_000;
+
+    /** What a soak gives its clients. */
+    interface Environment {
+        long now();
+
+        /** Connects; {@code anew}: for a request, which no manager that ends is sent. */
+        Socket connect(int manager, int timeoutMs, boolean anew) throws IOException;
+
+        /** Registers a request just before its last byte is sent. */
+        ClientTry open(ClientScript script, String id, long deadline);
+
+        void left(ClientTry clientTry, Departure departure, long at);
+
+        /** It has its final answer. */
+        void answered(ClientTry clientTry, HttpMessage answer);
+
+        /** Its request never came to a manager that lives. */
+        void notAccepted(ClientTry clientTry);
+
+        void violation(ClientTry clientTry, String how);
+
+        /** Until when the manager stands still, in ticks; past or present. */
+        long pausedUntil(int manager);
+
+        /** Whether the manager was killed, or ended, since then. */
+        boolean endedSince(int manager, long since);
+    }
+
+    private final Environment environment;
+    private final ClientScript script;
+    private final String idPrefix;
+    private int requests;
+    private Socket socket;
+    private ClientTry clientTry;
+    private String path;
+    private long sentAt;
+
+    /** When its connection was made at the earliest. */
+    private long connectedAt;
+
+    /** Ticks. */
+    private long deadline;
+
+    SoakClient(Environment environment, ClientScript script, String idPrefix) {
+        this.environment = environment;
+        this.script = script;
+        this.idPrefix = idPrefix;
+    }
+
+    @Override
+    public void run() {
+        connectedAt = environment.now();
+        try {
+            socket = environment.connect(script.manager(), CONNECT_TIMEOUT_MS, true);
+        } catch (IOException refused) {
+            return;
+        }
+        try {
+            boolean goesOn = request(script.departure(), false);
+            for (int i = 0; i < script.repeats() && goesOn; i++) {
+                sleep(script.restMs());
+                goesOn = request(Departure.STAYS, true);
+            }
+        } finally {
+            closeQuietly(socket);
+        }
+    }
+
+    /** Sends a request and follows it; whether its connection can be used again. */
+    private boolean request(Departure departure, boolean rested) {
+        path = null;
+        clientTry = null;
+        try {
+            write();
+        } catch (IOException closed) {
+            if (clientTry != null) {
+                environment.notAccepted(clientTry);
+            }
+            return false;
+        }
+        try {
+            return departure == Departure.STAYS ? stay(rested) : leave(departure);
+        } catch (IOException fault) {
+            return onBroken(rested, fault);
+        }
+    }
+
+    /** Its time counts from its last byte. */
+    private void write() throws IOException {
+        String id =
+                String.format(
+                        Locale.ROOT, "%s%06x%02x", idPrefix, script.number(), requests++ & 0xFF);
+        String statement = "SELECT a FROM sales_1.orders";
+        String head =
+                "POST "
+                        + ClientWire.REQUEST_PATH
+                        + trafficClass()
+                        + " HTTP/1.1\r\nHost: h\r\n"
+                        + ClientWire.JOB_ID
+                        + ": "
+                        + id
+                        + "\r\n"
+                        + ClientWire.ALLOW_MS
+                        + ": "
+                        + script.timeoutMs()
+                        + "\r\n"
+                        + ClientWire.TEAM
+                        + ": large\r\nX-Size-Ms: "
+                        + script.workMs()
+                        + ".0\r\nX-Memory: 200\r\nContent-Length: "
+                        + statement.length()
+                        + "\r\n\r\n";
+        boolean inPieces = script.bodyDelayMs() > 0 && requests == 1;
+        if (inPieces) {
+            send(head);
+            sleep(script.bodyDelayMs());
+        }
+        deadline = environment.now() + Ticks.ofMillis(script.timeoutMs());
+        clientTry = environment.open(script, id, deadline);
+        send(inPieces ? statement : head + statement);
+        sentAt = environment.now();
+    }
+
+    private String trafficClass() {
+        return SoakPlan.TRAFFIC_CLASSES.get(script.trafficClass());
+    }
+
+    private void send(String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** Reads the next response, at most until then (ticks); null where none came by then. */
+    private HttpMessage readUntil(long until) throws IOException {
+        long leftMs = Ticks.toMillis(until - environment.now());
+        if (leftMs <= 0) {
+            return null;
+        }
+        try {
+            socket.setSoTimeout((int) leftMs);
+            return HttpMessage.read(socket.getInputStream());
+        } catch (SocketTimeoutException nothing) {
+            return null;
+        }
+    }
+
+    /** When an answer that has not come is lost, by what is known now. */
+    private long lostAt() {
+        return Math.max(deadline, environment.pausedUntil(script.manager()))
+                + Ticks.ofMillis(LOST_AFTER_MS);
+    }
+
+    private boolean stay(boolean rested) throws IOException {
+        int pollsAgain = 0;
+        while (true) {
+            HttpMessage response;
+            try {
+                response = readUntil(lostAt());
+            } catch (IOException broken) {
+                if (path == null || ++pollsAgain > MAX_POLLS_AGAIN) {
+                    throw broken;
+                }
+                pollOnNewConnection();
+                continue;
+            }
+            if (response == null) {
+                if (environment.now() < lostAt()) {
+                    continue;
+                }
+                if (!environment.endedSince(script.manager(), connectedAt)) {
+                    environment.violation(clientTry, "never answered");
+                }
+                return false;
+            }
+            if (!response.hasPollPath()) {
+                environment.answered(clientTry, response);
+                return !"close".equalsIgnoreCase(response.headers().get("connection"));
+            }
+            path = response.pollPath();
+            send("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+        }
+    }
+
+    private void pollOnNewConnection() throws IOException {
+        closeQuietly(socket);
+        socket = environment.connect(script.manager(), CONNECT_TIMEOUT_MS, false);
+        send("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+
+    private boolean leave(Departure departure) throws IOException {
+        long leavesAt = sentAt + Ticks.ofMillis(script.leaveAfterMs());
+        boolean needsPath =
+                departure == Departure.DELETES_ON_NEW_CONNECTION
+                        || departure == Departure.CLOSES_AND_DELETES
+                        || departure == Departure.DELETES_ON_SAME_CONNECTION
+                        || departure == Departure.CLOSES_WITH_PATH;
+        boolean polls =
+                departure != Departure.DELETES_ON_SAME_CONNECTION
+                        && departure != Departure.CLOSES_WITH_PATH;
+        while (true) {
+            HttpMessage response = readUntil(needsPath && path == null ? lostAt() : leavesAt);
+            if (response == null && needsPath && path == null) {
+                return stay(false);
+            }
+            if (response == null) {
+                break;
+            }
+            if (!response.hasPollPath()) {
+                environment.answered(clientTry, response);
+                return false;
+            }
+            path = response.pollPath();
+            if (!polls) {
+                break;
+            }
+            send("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+        }
+        depart(departure);
+        return false;
+    }
+
+    private void depart(Departure departure) throws IOException {
+        switch (departure) {
+            case CLOSES, CLOSES_WITH_PATH -> socket.close();
+            case RESETS -> {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            }
+            case HALF_CLOSES -> socket.shutdownOutput();
+            case DELETES_ON_SAME_CONNECTION -> sendDelete(socket);
+            case DELETES_ON_NEW_CONNECTION -> deleteOnNewConnection();
+            case CLOSES_AND_DELETES -> {
+                socket.close();
+                environment.left(clientTry, departure, environment.now());
+                deleteOnNewConnection();
+            }
+            case VANISHES -> {
+                sleep(VANISHED_FOR_MS);
+                socket.close();
+            }
+            case STAYS -> throw new IllegalStateException("it stays");
+        }
+        environment.left(clientTry, departure, environment.now());
+        if (departure == Departure.DELETES_ON_NEW_CONNECTION
+                || departure == Departure.DELETES_ON_SAME_CONNECTION
+                || departure == Departure.HALF_CLOSES) {
+            // It stays connected for a while, so that nothing but its word tells that it left.
+            sleep(VANISHED_FOR_MS / 2);
+        }
+    }
+
+    private void sendDelete(Socket to) throws IOException {
+        if (path == null) {
+            to.close();
+            return;
+        }
+        to.getOutputStream()
+                .write(
+                        ("DELETE " + path + " HTTP/1.1\r\nHost: h\r\n\r\n")
+                                .getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private void deleteOnNewConnection() throws IOException {
+        if (path == null) {
+            socket.close();
+            return;
+        }
+        Socket other = environment.connect(script.manager(), CONNECT_TIMEOUT_MS, false);
+        sendDelete(other);
+        environment.left(clientTry, script.departure(), environment.now());
+        other.setSoTimeout(CONNECT_TIMEOUT_MS);
+        try {
+            HttpMessage.read(other.getInputStream());
+        } catch (IOException noAnswer) {
+            // It was cancelled when it was written.
+        } finally {
+            closeQuietly(other);
+        }
+    }
+
+    /** The connection ended with no answer: never right over a request that was read. */
+    private boolean onBroken(boolean rested, IOException fault) {
+        boolean crossed =
+                rested && Ticks.toMillis(environment.now() - sentAt) <= CROSSING_MS && path == null;
+        if (environment.endedSince(script.manager(), connectedAt)) {
+            environment.notAccepted(clientTry);
+        } else if (clientTry.hasLeft() || path != null || crossed) {
+            // It goes, or sends its request again elsewhere: this one must not run.
+            environment.left(clientTry, script.departure(), environment.now());
+        } else {
+            environment.violation(clientTry, "closed without an answer: " + fault);
+        }
+        return false;
+    }
+
+    private static void sleep(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void closeQuietly(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException closed) {
+            // Closed either way.
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/firstage/soak/SoakPlan.java
@@ -0,0 +1,290 @@
+package firstage.soak;
+
+import firstage.fixtures.SystemCallFaults;
+import firstage.simulation.FleetPlan;
+import firstage.simulation.FleetPlanReader;
+import firstage.simulation.RandomStreams;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.random.RandomGenerator;
+
+/**
+ * All that a seed draws: the fleet and its faults as a plan of the fault tests, and beside them
+ * clients, failing system calls, signals in series and silent coordinators.
+ *
+ * @param text of the plan
+ * @param extraFaults beside the plan's
+ */
+record SoakPlan(
+        String text, FleetPlan plan, List<ClientScript> clients, List<ExtraFault> extraFaults) {
+    /** The traffic classes of the plan. */
+    static final List<String> TRAFFIC_CLASSES = List.of("lookup", "report", "log-load");
+
+    /** Length of a run, without its start and end. */
+    private static final int LENGTH_MS = 12_000;
+
+    private static final int FIRST_FAULT_MS = 800;
+    private static final int ENGINES = 4;
+    private static final int CLIENTS_OF_A_MANAGER = 22;
+    private static final int MAX_FAULTS = 22;
+    private static final int HOUR_S = 3_600;
+
+    /**
+     * A fault that a plan has no word for.
+     *
+     * @param subject the manager or engine
+     * @param systemCall what fails, for {@link ExtraKind#SYSTEM_CALLS}
+     * @param value its rate, seconds of a clock step, or how often
+     */
+    record ExtraFault(
+            ExtraKind kind,
+            long atMs,
+            long lengthMs,
+            int subject,
+            SystemCallFaults.Kind systemCall,
+            int value) {}
+
+    /** What a plan of the fault tests has no word for. */
+    enum ExtraKind {
+        /** System calls of a manager fail for a while, or its wall clock is stepped. */
+        SYSTEM_CALLS,
+        /** All connections to an engine are reset. */
+        RESET_ENGINE_CONNECTIONS,
+        /** A manager's coordinator says nothing for a while. */
+        SILENT_COORDINATOR,
+        /** SIGHUP several times in a row. */
+        RELOADS,
+        /** A manager is stopped for a short time, several times in a row. */
+        PAUSES,
+        /** Many idle connections to a manager. */
+        IDLE_CROWD,
+        /** Processes that use up the machine beside it. */
+        BUSY_PROCESSES
+    }
+
+    /** Draws the plan of a seed. */
+    static SoakPlan draw(long seed, int managers) {
+        RandomGenerator random = new RandomStreams(seed).stream("soak", 0);
+        StringBuilder text = new StringBuilder(fleet(managers));
+        List<long[]> pauses = new ArrayList<>();
+        int faults = MAX_FAULTS / 2 + random.nextInt(MAX_FAULTS / 2);
+        for (int i = 0; i < faults; i++) {
+            text.append(fault(random, managers, pauses));
+        }
+        List<ExtraFault> extras = new ArrayList<>();
+        for (int i = 0; i < faults; i++) {
+            extras.add(extraFault(random, managers, pauses));
+        }
+        List<ClientScript> clients = new ArrayList<>();
+        for (int i = 0; i < managers * CLIENTS_OF_A_MANAGER; i++) {
+            clients.add(client(random, i, managers, pauses));
+        }
+        return new SoakPlan(
+                text.toString(), FleetPlanReader.read(text.toString()), clients, extras);
+    }
+
+    /** One in two leaves in the middle of a pause of its manager, the others at any time. */
+    private static ClientScript client(
+            RandomGenerator random, int number, int managers, List<long[]> pauses) {
+        if (pauses.isEmpty() || random.nextBoolean()) {
+            return ClientScript.draw(
+                    random,
+                    number,
+                    random.nextInt(managers),
+                    random.nextInt(LENGTH_MS),
+                    random.nextInt(6) == 0 ? 0 : -1);
+        }
+        long[] pause = pauses.get(random.nextInt(pauses.size()));
+        long leavesAt = pause[1] + random.nextLong(pause[2] + 20);
+        long before = random.nextLong(700);
+        return ClientScript.draw(
+                random, number, (int) pause[0], Math.max(0, leavesAt - before), before);
+    }
+
+    private static int at(RandomGenerator random) {
+        return FIRST_FAULT_MS + random.nextInt(LENGTH_MS - 2 * FIRST_FAULT_MS);
+    }
+
+    private static String fault(RandomGenerator random, int managers, List<long[]> pauses) {
+        int manager = random.nextInt(managers);
+        int engine = random.nextInt(ENGINES);
+        int at = at(random);
+        switch (random.nextInt(12)) {
+            case 0, 1, 2, 3 -> {
+                int length =
+                        random.nextInt(4) == 0
+                                ? 500 + random.nextInt(2_500)
+                                : 20 + random.nextInt(480);
+                pauses.add(new long[] {manager, at, length});
+                return entry("pause", at, length, "managers " + manager, "");
+            }
+            case 4 -> {
+                return entry("kill", at, 0, "managers " + manager, "");
+            }
+            case 5 -> {
+                return entry("stop", at, 0, "managers " + manager, "");
+            }
+            case 6 -> {
+                return entry("hang", at, 300 + random.nextInt(3_000), "engines " + engine, "");
+            }
+            case 7 -> {
+                return entry("drain", at, 300 + random.nextInt(1_500), "engines " + engine, "");
+            }
+            case 8 -> {
+                return entry("die", at, 300 + random.nextInt(1_500), "engines " + engine, "");
+            }
+            case 9 -> {
+                return entry(
+                        "cut",
+                        at,
+                        100 + random.nextInt(1_500),
+                        "managers " + manager,
+                        "to = \"engines " + engine + "\"\n");
+            }
+            case 10 -> {
+                return entry(
+                        "delay",
+                        at,
+                        500 + random.nextInt(1_500),
+                        "managers " + manager,
+                        "to = \"engines "
+                                + engine
+                                + "\"\nsize = "
+                                + (20.0 + random.nextInt(300))
+                                + "\n");
+            }
+            default -> {
+                return entry("silence", at, 500 + random.nextInt(1_500), "engines " + engine, "");
+            }
+        }
+    }
+
+    private static String entry(String kind, int at, int length, String who, String more) {
+        return String.format(
+                Locale.ROOT,
+                "%n[[fault]]%nkind = \"%s\"%nat = \"%d ms\"%n%s = \"%s\"%n%s%s",
+                kind,
+                at,
+                more.isEmpty() ? "who" : "from",
+                who,
+                length > 0 ? "length = \"" + length + " ms\"\n" : "",
+                more);
+    }
+
+    private static ExtraFault extraFault(
+            RandomGenerator random, int managers, List<long[]> pauses) {
+        int at = at(random);
+        int manager = random.nextInt(managers);
+        int length = 200 + random.nextInt(3_000);
+        ExtraKind[] kinds = ExtraKind.values();
+        int draw = random.nextInt(kinds.length + 6);
+        ExtraKind kind = draw < kinds.length ? kinds[draw] : ExtraKind.SYSTEM_CALLS;
+        return switch (kind) {
+            case SYSTEM_CALLS -> systemCalls(random, at, length, manager);
+            case RESET_ENGINE_CONNECTIONS ->
+                    new ExtraFault(kind, at, 0, random.nextInt(ENGINES), null, 0);
+            case PAUSES -> {
+                int times = 2 + random.nextInt(4);
+                int each = 20 + random.nextInt(200);
+                pauses.add(new long[] {manager, at, 2L * times * each});
+                yield new ExtraFault(kind, at, each, manager, null, times);
+            }
+            case RELOADS -> new ExtraFault(kind, at, 0, manager, null, 2 + random.nextInt(3));
+            case IDLE_CROWD -> new ExtraFault(kind, at, length, manager, null, 100);
+            case BUSY_PROCESSES -> new ExtraFault(kind, at, length, 0, null, 2);
+            case SILENT_COORDINATOR -> new ExtraFault(kind, at, length, manager, null, 0);
+        };
+    }
+
+    private static ExtraFault systemCalls(RandomGenerator random, int at, int length, int manager) {
+        SystemCallFaults.Kind[] calls = SystemCallFaults.Kind.values();
+        SystemCallFaults.Kind call = calls[random.nextInt(calls.length - 1)];
+        int value =
+                switch (call) {
+                    case CLOCK_STEP ->
+                            (random.nextBoolean() ? 1 : -1)
+                                    * (random.nextBoolean() ? HOUR_S : 1 + random.nextInt(30));
+                    case BREAK -> 5 + random.nextInt(40);
+                    default -> 10 + random.nextInt(300);
+                };
+        return new ExtraFault(ExtraKind.SYSTEM_CALLS, at, length, manager, call, value);
+    }
+
+    private static String fleet(int managers) {
+        return """
+        name = "soak"
+        length = "%d ms"
+        zones = "north"
+
+        [managers]
+        count = %d
+        list_delay = "20 ms to 300 ms"
+        restart = "100 ms to 500 ms"
+
+        [engines]
+        count = %d
+        cores = 4
+        memory = "4 GB"
+
+        [clients]
+        retries = 1
+
+        [traffic]
+        rate = 40.0
+        keys = 20
+
+        [[group]]
+        name = "lookup"
+        share = "70%%"
+        work = "160 ms"
+        io = "30%%"
+        memory = "300 MB"
+        goal = "1 s"
+        stretch = 1.5
+        limit = "4 s"
+        effect = "repeatable"
+        yields = true
+
+        [[group]]
+        name = "report"
+        share = "20%%"
+        work = "800 ms"
+        io = "40%%"
+        threads = 2
+        memory = "900 MB"
+        goal = "2 s"
+        stretch = 2.5
+        limit = "6 s"
+        utility = 5.0
+        late_value = "30%%"
+        effect = "repeatable"
+        yields = true
+
+        [[group]]
+        name = "log-load"
+        share = "10%%"
+        work = "800 ms"
+        io = "55%%"
+        threads = 2
+        memory = "600 MB"
+        goal = "4 s"
+        stretch = 3.0
+        limit = "6 s"
+        utility = 8.0
+        late_value = "50%%"
+        effect = "once-only"
+        ordered = true
+        load = true
+
+        [[customer]]
+        name = "large"
+        share = "60%%"
+
+        [[customer]]
+        name = "small"
+        share = "40%%"
+        """
+                .formatted(LENGTH_MS, managers, ENGINES);
+    }
+}
