A departure counts from when the client was last known there, not from a pause

Evidence: STATEMENT_WRITTEN, POLL_PATH_SENT, then CALL_CLOSED 30 ms later, lateByMs=425. The connection had been read, and was open, after the send. Change: what bounds a departure from below is also the last read that found the client's connection open, and for a cancellation the time its path was sent, without which it could not cancel.

--- a/src/main/java/firstage/server/ActionGuard.java
+++ b/src/main/java/firstage/server/ActionGuard.java
@@ -153,9 +153,14 @@
         report(exchange, exchange.departures.onStatementSent(now));
     }
 
-    /** The client closed its connection, or cancelled; this was read just now. */
-    public void onClientLeft(RequestExchange exchange) {
-        report(exchange, exchange.departures.onClientLeft(earliestArrival()));
+    /**
+     * The client closed its connection, or cancelled; this was read just now.
+     *
+     * @param notBefore it can't have left earlier: its connection was open, or it could not cancel
+     */
+    public void onClientLeft(RequestExchange exchange, long notBefore) {
+        long earliest = Math.max(earliestArrival(), notBefore);
+        report(exchange, exchange.departures.onClientLeft(earliest));
     }
 
     private void report(RequestExchange exchange, long lateness) {
--- a/src/main/java/firstage/server/client/PendingCall.java
+++ b/src/main/java/firstage/server/client/PendingCall.java
@@ -58,6 +58,10 @@
     private StreamConnection pathConnection;
 
     private long pathSentAt;
+
+    /** When the connection on which the client waits, or is to poll, was open for sure. */
+    private long connectionOpenAt;
+
     private Answer answer;
     private boolean answerSent;
     private XnioExecutor.Key timer;
@@ -113,7 +117,8 @@
 
     /** The client cancels by a DELETE of the path. */
     void cancel() {
-        guard.onClientLeft(request);
+        // Without its path it could not.
+        guard.onClientLeft(request, pathSentAt);
         stateMachine.onClientCancelled();
     }
 
@@ -161,7 +166,7 @@
                 } else if (bytesRead > 0) {
                     // The next call came before the answer to this one: that breaks the protocol.
                     responses.refuseAndClose(release(), 400, "one call at a time");
-                    guard.onClientLeft(request);
+                    guard.onClientLeft(request, connectionOpenAt);
                     stateMachine.onClientCancelled();
                 }
             } catch (IOException exception) {
@@ -181,7 +186,7 @@
         } else {
             record(EventType.CALL_CLOSED, "client closed");
             respond(call, FAILED, false);
-            guard.onClientLeft(request);
+            guard.onClientLeft(request, connectionOpenAt);
             stateMachine.onFirstCallBroken();
         }
     }
@@ -189,7 +194,7 @@
     private void onConnectionBroken(HeldCall call, String reason) {
         call.close(reason);
         if (heldCalls.isEmpty()) {
-            guard.onClientLeft(request);
+            guard.onClientLeft(request, connectionOpenAt);
         }
         if (!call.isPoll()) {
             stateMachine.onFirstCallBroken();
@@ -201,22 +206,25 @@
 
     @Override
     public long confirm(long now) {
-        readPending();
+        readPending(now);
         return heldCalls.isEmpty() ? pathSentAt : now;
     }
 
     /** Reads what lies unread on the connections on which the client calls or will call. */
-    private void readPending() {
+    private void readPending(long now) {
         List.copyOf(heldCalls).forEach(HeldCall::readPending);
         if (pathConnection != null) {
             ClientConnections.readPending(pathConnection);
         }
+        if (!heldCalls.isEmpty() || pathConnection != null) {
+            connectionOpenAt = now;
+        }
     }
 
     private void onPathConnectionClosed() {
         pathConnection = null;
         record(EventType.CALL_CLOSED, "client closed after its path");
-        guard.onClientLeft(request);
+        guard.onClientLeft(request, connectionOpenAt);
         stateMachine.onPathConnectionClosed();
     }
 
@@ -276,7 +284,7 @@
     /** The client's own connection is read first: nothing else may come between. */
     private void onTimeout() {
         XnioExecutor.Key elapsed = timer;
-        readPending();
+        readPending(clock.now());
         if (timer == elapsed) {
             stateMachine.onTimeout();
         }
