--- a/src/main/java/firstage/faulttest/FaultTestExtension.java
+++ b/src/main/java/firstage/faulttest/FaultTestExtension.java
@@ -35,6 +35,9 @@
         /** Sends a signal to a manager's process. */
         void signal(int manager, String name);
 
+        /** Stops a manager's process for so many ticks. */
+        void pause(int manager, long ticks);
+
         /** Resets all connections between managers and an engine. */
         void resetConnections(int engine);
 
--- a/src/main/java/firstage/faulttest/FaultTestRun.java
+++ b/src/main/java/firstage/faulttest/FaultTestRun.java
@@ -294,6 +294,11 @@
             managers.signal(manager, name);
         }
 
+        @Override
+        public void pause(int manager, long ticks) {
+            managers.pause(manager, ticks);
+        }
+
         @Override
         public void resetConnections(int engine) {
             links.resetConnections(engine);
--- /dev/null
+++ b/src/test/java/firstage/soak/SeededDefect.java
@@ -0,0 +1,83 @@
+package firstage.soak;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import javax.tools.JavaCompiler;
+import javax.tools.ToolProvider;
+
+/**
+ * A fault of the program that the soak must find: one source file with one line changed, compiled
+ * to a folder that stands before the packaged program on the class path.
+ */
+enum SeededDefect {
+    /** Statements are sent whatever is known of their clients. */
+    GUARD_OFF(
+            "lifecycle/SendGuard.java",
+            "        if (knowledge.clientSettled) {",
+            "        if (true) {\n            return Verdict.SEND;\n        }\n"
+                    + "        if (knowledge.clientSettled) {"),
+    /** What the program knows may be one selector pass old: new connections are not read. */
+    KNOWLEDGE_ONE_PASS_OLD(
+            "server/ReadBarrier.java", "SELECTOR_PASSES = 2;", "SELECTOR_PASSES = 1;"),
+    /** A client with a path that does not poll, and what is known, count for twice as long. */
+    GRACE_DOUBLED(
+            "lifecycle/SendGuard.java",
+            "MAX_KNOWLEDGE_AGE = Ticks.ofMillis(50)",
+            "MAX_KNOWLEDGE_AGE = Ticks.ofMillis(2 * 50)"),
+    /** What gives up for lack of input does so before what came in a pause is read. */
+    TIMERS_BEFORE_READS(
+            "server/ActionGuard.java",
+            "            barrier.runAfterPendingReads(\n                    () -> {",
+            "            io.execute(\n                    () -> {"),
+    /** What lay unread in a pause counts from when it is read. */
+    PAUSES_UNSEEN(
+            "lifecycle/PauseDetector.java",
+            "return isCatchingUp(now) ? pausedSince : now;",
+            "return now;");
+
+    private static final Path SOURCES = Path.of("src", "main", "java", "firstage");
+
+    private final String file;
+    private final String original;
+    private final String replacement;
+
+    SeededDefect(String file, String original, String replacement) {
+        this.file = file;
+        this.original = original;
+        this.replacement = replacement;
+    }
+
+    /** The command that starts a manager with this defect; compiles it into the folder. */
+    String serveCommand(Path folder) throws IOException {
+        String source = Files.readString(SOURCES.resolve(file));
+        if (!source.contains(original)) {
+            throw new IOException(this + ": " + file + " has no such line any more");
+        }
+        Path changed = folder.resolve("source").resolve(Path.of(file).getFileName());
+        Path classes = folder.resolve("classes");
+        Files.createDirectories(changed.getParent());
+        Files.createDirectories(classes);
+        Files.writeString(changed, source.replace(original, replacement));
+        JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
+        String classPath = Path.of("target", "classes") + ":" + Path.of("target", "lib", "*");
+        List<String> arguments =
+                List.of(
+                        "-XDignore.symbol.file",
+                        "-cp",
+                        classPath,
+                        "-d",
+                        classes.toString(),
+                        changed.toString());
+        if (compiler.run(null, null, null, arguments.toArray(String[]::new)) != 0) {
+            throw new IOException(this + " does not compile");
+        }
+        return FaultSoak.serveCommand()
+                .replace(
+                        "-jar target/firstage.jar",
+                        "-cp "
+                                + classes.toAbsolutePath()
+                                + ":target/firstage.jar:target/lib/* firstage.cli.Main");
+    }
+}
