The stored plan number survives a kill and a disk that fails for a while

A kill in the middle of the write left an empty file or a part of the number, and a manager then followed an older plan than it had held; a full disk ended the start. Change: written beside, synced, renamed, the folder synced; tried again for 10 s. The mark of a withdrawal is tried again each second; until it is stored nothing is withdrawn, as before. PeersFileReaderTest.store_writeFails_keepsTheNumberBefore.

--- a/src/main/java/firstage/cli/PlanNumberFile.java
+++ b/src/main/java/firstage/cli/PlanNumberFile.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 
 /**
@@ -18,6 +19,7 @@
  */
 final class PlanNumberFile {
     private static final String SUFFIX = ".plan";
+    private static final String TEMPORARY_SUFFIX = ".new";
 
     private PlanNumberFile() {}
 
@@ -58,15 +60,25 @@
         return text.matches("[0-9]{1,9}") ? Integer.parseInt(text) : 0;
     }
 
+    /** A kill leaves the number before or this one, never a part of it. */
     private static void write(Path file, int number) throws IOException {
+        Path written = file.resolveSibling(file.getFileName() + TEMPORARY_SUFFIX);
         try (FileChannel channel =
                 FileChannel.open(
-                        file,
+                        written,
                         StandardOpenOption.CREATE,
                         StandardOpenOption.WRITE,
                         StandardOpenOption.TRUNCATE_EXISTING)) {
-            channel.write(ByteBuffer.wrap((number + "\n").getBytes(StandardCharsets.US_ASCII)));
+            ByteBuffer line = ByteBuffer.wrap((number + "\n").getBytes(StandardCharsets.US_ASCII));
+            while (line.hasRemaining()) {
+                channel.write(line);
+            }
             channel.force(true);
         }
+        Files.move(written, file, StandardCopyOption.ATOMIC_MOVE);
+        try (FileChannel folder =
+                FileChannel.open(file.toAbsolutePath().getParent(), StandardOpenOption.READ)) {
+            folder.force(true);
+        }
     }
 }
--- a/src/main/java/firstage/cli/ServeCommand.java
+++ b/src/main/java/firstage/cli/ServeCommand.java
@@ -10,6 +10,7 @@
 import java.net.SocketException;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.function.Predicate;
 import java.util.logging.Logger;
 import sun.misc.Signal;
 import sun.misc.SignalHandler;
@@ -28,6 +29,7 @@
     /** A process that was killed under load holds its address until all it had is taken down. */
     private static final long ADDRESS_PATIENCE_MS = 10_000;
 
+    private static final long DISK_PATIENCE_MS = 10_000;
     private static final long RETRY_DELAY_MS = 25;
     private static final long NANOS_PER_MS = 1_000_000;
 
@@ -99,7 +101,14 @@
             return null;
         }
         PeerConfig peers = PeersFileReader.read(peersFile, managerName);
-        PlanNumberFile.store(peersFile, peers);
+        // A disk that is full, or fails, for a while: the number must be there before it serves.
+        retry(
+                DISK_PATIENCE_MS,
+                fault -> true,
+                () -> {
+                    PlanNumberFile.store(peersFile, peers);
+                    return null;
+                });
         return peers;
     }
 
@@ -122,13 +131,18 @@
 
     /** Runs a step, and again where it failed in a way that passes, for so many milliseconds. */
     static <T> T retryWhileTransient(long patienceMs, Step<T> step) throws IOException {
+        return retry(patienceMs, ServeCommand::isTransient, step);
+    }
+
+    private static <T> T retry(long patienceMs, Predicate<IOException> passes, Step<T> step)
+            throws IOException {
         long until = System.nanoTime() + patienceMs * NANOS_PER_MS;
         boolean logged = false;
         while (true) {
             try {
                 return step.run();
             } catch (IOException fault) {
-                if (!isTransient(fault) || System.nanoTime() > until) {
+                if (!passes.test(fault) || System.nanoTime() > until) {
                     throw fault;
                 }
                 if (!logged) {
--- a/src/main/java/firstage/server/membership/MembershipTransport.java
+++ b/src/main/java/firstage/server/membership/MembershipTransport.java
@@ -69,6 +69,10 @@
 
     private static final Logger LOG = Logger.getLogger(MembershipTransport.class.getName());
     private static final int TICK_MS = 20;
+
+    /** Between tries to store the mark where the disk fails. */
+    private static final int MARK_RETRY_MS = 1_000;
+
     private static final int MAX_DATAGRAM_BYTES = 1_200;
 
     private static final int MAX_DATAGRAMS_PER_READ = 64;
@@ -280,13 +284,17 @@
                                 file.force(true);
                                 io.execute(leases::onWithdrawalMarkStored);
                             } catch (IOException fault) {
-                                // Then it withdraws nothing: what the others could use stays
-                                // unused, and no invariant is at stake.
+                                // Until it is stored it withdraws nothing: what the others could
+                                // use stays unused, and no invariant is at stake.
                                 LOG.warning(
                                         "no mark can be kept at "
                                                 + config.withdrawalMark()
                                                 + ": "
                                                 + fault.getMessage());
+                                io.executeAfter(
+                                        this::storeWithdrawalMarkAgain,
+                                        MARK_RETRY_MS,
+                                        TimeUnit.MILLISECONDS);
                             }
                         },
                         "mark of peers");
@@ -294,6 +302,12 @@
         writer.start();
     }
 
+    private void storeWithdrawalMarkAgain() {
+        if (!closed) {
+            storeWithdrawalMark();
+        }
+    }
+
     private void onReadable() {
         try {
             for (int i = 0; i < MAX_DATAGRAMS_PER_READ; i++) {
--- a/src/test/java/firstage/cli/PeersFileReaderTest.java
+++ b/src/test/java/firstage/cli/PeersFileReaderTest.java
@@ -122,6 +122,18 @@
         assertThat(Files.readString(folder.resolve("peers-cells.toml.plan"))).isEqualTo("14\n");
     }
 
+    /**
+     * A kill or a full disk in the middle of the write left no number, and an older plan passed.
+     */
+    @Test
+    void store_writeFails_keepsTheNumberBefore() throws IOException {
+        Path file = peersFileOfPlan(14);
+        PeerConfig peers = PeersFileReader.read(file, "unused");
+        Files.createDirectory(folder.resolve("peers-cells.toml.plan.new"));
+        assertThatThrownBy(() -> PlanNumberFile.store(file, peers)).isInstanceOf(IOException.class);
+        assertThat(folder.resolve("peers-cells.toml.plan")).hasContent("3");
+    }
+
     @Test
     void store_theStoredPlan_leavesTheFile() throws IOException {
         Path file = peersFileOfPlan(3);
