Nothing but the write itself follows the check of a send

Between them stood a reader's creation and the attempt's state change, which in a process that just started are interpreted code and class loading. Change: what needs not come between comes before the check or after the first write. What remains is the way through the channel to the system call.

--- a/src/main/java/firstage/server/engine/EngineCall.java
+++ b/src/main/java/firstage/server/engine/EngineCall.java
@@ -63,7 +63,7 @@
         // Nobody needs to know of most calls.
     }
 
-    /** Its first byte is written next. */
+    /** Its first bytes were written. */
     void onWriting() {
         // Nobody needs to know of most calls.
     }
--- a/src/main/java/firstage/server/engine/EngineConnection.java
+++ b/src/main/java/firstage/server/engine/EngineConnection.java
@@ -75,16 +75,37 @@
         return closed;
     }
 
-    /** Makes a call whose bytes are ready: nothing may come between its check and the write. */
-    void send(EngineCall next, ByteBuffer encoded) {
+    /**
+     * Makes a call if it may be made at this instant. All else is done before or after: a process
+     * that is stopped between the check and the write sends on what was known before.
+     */
+    Verdict sendIfAllowed(EngineCall next, String host) {
+        ByteBuffer encoded = next.encode(host);
+        EngineResponseReader nextReader = new EngineResponseReader();
+        ConduitStreamSinkChannel sink = channel.getSinkChannel();
+        Verdict verdict = next.checkSend();
+        if (verdict != Verdict.SEND) {
+            return verdict;
+        }
+        IOException failure = null;
+        try {
+            sink.write(encoded);
+        } catch (IOException exception) {
+            failure = exception;
+        }
         call = next;
+        reader = nextReader;
         unsentBytes = encoded;
-        reader = new EngineResponseReader();
         sentAt = pool.now();
         next.onWriting();
-        write(channel.getSinkChannel());
+        if (failure == null) {
+            write(sink);
+        } else {
+            onWriteFailed(sink);
+        }
         responseTimeout =
                 guard.executeAfter(next.timeoutMs, () -> fail(EngineCall.Failure.RESPONSE_TIMEOUT));
+        return verdict;
     }
 
     private void onWritable(ConduitStreamSinkChannel sink) {
@@ -118,13 +139,17 @@
             sink.suspendWrites();
             call.onWritten();
         } catch (IOException exception) {
-            // Its response may be there all the same: reading shows.
-            unsentBytes = null;
-            sink.suspendWrites();
-            io.execute(() -> onReadable(channel.getSourceChannel()));
+            onWriteFailed(sink);
         }
     }
 
+    /** Its response may be there all the same: reading shows. */
+    private void onWriteFailed(ConduitStreamSinkChannel sink) {
+        unsentBytes = null;
+        sink.suspendWrites();
+        io.execute(() -> onReadable(channel.getSourceChannel()));
+    }
+
     private void onReadable(ConduitStreamSourceChannel source) {
         try {
             while (!closed) {
--- a/src/main/java/firstage/server/engine/EngineConnectionPool.java
+++ b/src/main/java/firstage/server/engine/EngineConnectionPool.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -119,11 +118,11 @@
             context.io().execute(() -> call.onFailure(EngineCall.Failure.RESET_BEFORE_SEND));
             return;
         }
-        ByteBuffer encoded = call.encode(host);
-        Verdict verdict = call.checkSend();
+        Verdict verdict = connection.sendIfAllowed(call, host);
         if (verdict == Verdict.SEND) {
-            connection.send(call, encoded);
-        } else if (verdict == Verdict.RENEW && renewals < MAX_RENEWALS) {
+            return;
+        }
+        if (verdict == Verdict.RENEW && renewals < MAX_RENEWALS) {
             context.guard()
                     .runAfterPendingReads(() -> sendIfAllowed(connection, call, renewals + 1));
         } else {
