--- a/src/main/java/firstage/server/client/ClientHandler.java
+++ b/src/main/java/firstage/server/client/ClientHandler.java
@@ -133,9 +133,9 @@
                 listener.resumeAccepts();
             }
         } catch (IOException exception) {
-            LOG.warning("connection not accepted cause=" + exception.getMessage());
             counters.count("connections not accepted");
             if (!acceptFailing) {
+                LOG.warning("connections not accepted cause=" + exception.getMessage());
                 acceptFailing = true;
                 guard.onAcceptFailed();
             }
