A read barrier that is closed takes no more waiters

Cause: a timeout fired between the close of the barrier and the exit of the JVM, and wrote to the closed pipe; nothing was owed any more. Change: after close it calls nobody back.

--- a/src/main/java/firstage/server/ReadBarrier.java
+++ b/src/main/java/firstage/server/ReadBarrier.java
@@ -103,8 +103,14 @@
         return readAsOf;
     }
 
-    /** Calls back once all that has arrived until now is read, and its events are handled. */
+    /**
+     * Calls back once all that has arrived until now is read, and its events are handled. Never
+     * where it is closed: the program ends.
+     */
     public void runAfterPendingReads(Runnable callback) {
+        if (closed) {
+            return;
+        }
         nextPass.add(new Waiter(callback, clock.now()));
         if (!passInProgress) {
             startPass();
@@ -115,7 +121,7 @@
         currentPass.addAll(nextPass);
         nextPass.clear();
         passInProgress = !currentPass.isEmpty();
-        if (passInProgress) {
+        if (passInProgress && !closed) {
             counters.count("read barrier passes");
             writeWakeUp();
         }
@@ -175,6 +181,9 @@
 
     /** Without the pipe no barrier is ever passed: another is opened. */
     private void onPipeBroken(IOException exception) {
+        if (closed) {
+            return;
+        }
         LOG.severe("read barrier broken cause=" + exception);
         counters.count("read barriers broken");
         closePipe();
