--- a/src/main/java/firstage/emulator/FaultInjectingProxy.java
+++ b/src/main/java/firstage/emulator/FaultInjectingProxy.java
@@ -30,7 +30,6 @@
  */
 public final class FaultInjectingProxy implements AutoCloseable {
     private static final int BACKLOG = 256;
-    private static final long LATENESS_WINDOW = 2_500;
     private static final int BUFFER_BYTES = 16 * 1024;
 
     /** Above this a source is not read, so that its TCP window fills. */
@@ -53,11 +52,7 @@
     /** When this thread began what it does now; 0 while it waits. */
     private volatile long busySince;
 
-    /** The longest of the rounds that ended in this window and in the one before. */
-    private volatile long currentPeak;
-
-    private volatile long previousPeak;
-    private long windowStart;
+    private final RecentPeak longestRound = new RecentPeak();
 
     private record TimedTask(long due, Runnable task) {}
 
@@ -131,20 +126,14 @@
     }
 
     private void recordRound() {
-        long now = now();
-        if (now - windowStart > LATENESS_WINDOW) {
-            windowStart = now;
-            previousPeak = currentPeak;
-            currentPeak = 0;
-        }
-        currentPeak = Math.max(currentPeak, now - busySince);
+        longestRound.record(now() - busySince);
         busySince = 0;
     }
 
     /** How long a round took at most in the last quarter of a second, in ticks. */
     public long recentLateness() {
         long since = busySince;
-        return Math.max(since == 0 ? 0 : now() - since, Math.max(currentPeak, previousPeak));
+        return Math.max(since == 0 ? 0 : now() - since, longestRound.value());
     }
 
     /** What ended the proxy prematurely; null if it works. */
--- a/src/main/java/firstage/emulator/RealTimeLoop.java
+++ b/src/main/java/firstage/emulator/RealTimeLoop.java
@@ -24,7 +24,6 @@
     public static final long START = 1_000_000;
 
     private static final long TICK_MS = 1;
-    private static final long LATENESS_WINDOW_NS = 250_000_000;
     private static final long MAX_LATENESS_US = 60_000_000;
     private final XnioWorker worker;
     private final XnioIoThread ioThread;
@@ -34,12 +33,7 @@
     private final Histogram lateness = new Histogram(MAX_LATENESS_US, 2);
     private volatile boolean closed;
     private volatile long lastTickNs = System.nanoTime();
-
-    /** The largest lateness of this window and of the one before, in ticks. */
-    private volatile long currentPeak;
-
-    private volatile long previousPeak;
-    private long windowStartNs = System.nanoTime();
+    private final RecentPeak peakLateness = new RecentPeak();
 
     public RealTimeLoop() throws IOException {
         worker =
@@ -122,19 +116,13 @@
 
     private void recordPeak(long scheduledNs) {
         long nowNs = System.nanoTime();
-        if (nowNs - windowStartNs > LATENESS_WINDOW_NS) {
-            windowStartNs = nowNs;
-            previousPeak = currentPeak;
-            currentPeak = 0;
-        }
-        currentPeak = Math.max(currentPeak, Ticks.ofNanos(nowNs - scheduledNs));
+        peakLateness.record(Ticks.ofNanos(nowNs - scheduledNs));
         lastTickNs = nowNs;
     }
 
     /** How late this thread ran at most in the last quarter of a second, in ticks. */
     public long recentLateness() {
-        return Math.max(
-                Ticks.ofNanos(System.nanoTime() - lastTickNs), Math.max(currentPeak, previousPeak));
+        return Math.max(Ticks.ofNanos(System.nanoTime() - lastTickNs), peakLateness.value());
     }
 
     /** How late this thread ran, in microseconds. A run on an overloaded machine proves nothing. */
--- a/src/main/java/firstage/server/TickClock.java
+++ b/src/main/java/firstage/server/TickClock.java
@@ -1,5 +1,6 @@
 package firstage.server;
 
+import firstage.util.Ticks;
 import java.util.function.LongSupplier;
 
 /**
@@ -7,11 +8,8 @@
  * the system's time neither delays a decision nor makes all of them due at once.
  */
 public final class TickClock {
-    private static final long NANOS_PER_TICK = 100_000;
-    private static final long TICKS_PER_MS = 10;
-
-    /** The system's time drifts; more than this against the monotonic clock is a step, in ticks. */
-    private static final long MIN_STEP = 5_000;
+    /** The system's time drifts; more than this against the monotonic clock is a step. */
+    private static final long MIN_STEP = Ticks.ofMillis(500);
 
     private final LongSupplier unixClock;
     private final LongSupplier nanoClock;
@@ -25,12 +23,12 @@
     TickClock(LongSupplier unixClock, LongSupplier nanoClock) {
         this.unixClock = unixClock;
         this.nanoClock = nanoClock;
-        startTick = unixClock.getAsLong() * TICKS_PER_MS;
+        startTick = Ticks.ofMillis(unixClock.getAsLong());
         startNanos = nanoClock.getAsLong();
     }
 
     public long now() {
-        return startTick + (nanoClock.getAsLong() - startNanos) / NANOS_PER_TICK;
+        return startTick + Ticks.ofNanos(nanoClock.getAsLong() - startNanos);
     }
 
     /**
@@ -43,8 +41,8 @@
             return 0;
         }
         long now = now();
-        long byStart = unixMs * TICKS_PER_MS;
-        long step = unixClock.getAsLong() * TICKS_PER_MS - now;
+        long byStart = Ticks.ofMillis(unixMs);
+        long step = Ticks.ofMillis(unixClock.getAsLong()) - now;
         long latest = Math.abs(step) > MIN_STEP ? Math.max(byStart, byStart - step) : byStart;
         return Math.min(now, latest);
     }
--- a/src/test/java/firstage/server/ProcessPauseIT.java
+++ b/src/test/java/firstage/server/ProcessPauseIT.java
@@ -49,19 +49,25 @@
                 .doesNotContainAnyElementsOf(jobIdsOfClientsThatLeft);
     }
 
-    /** A client without a path closes: its request must not be sent when the process goes on. */
-    @ParameterizedTest
-    @ValueSource(ints = {5, 15, 25, 35})
-    void firstCall_clientClosedDuringPause_isNotSent(int engineReadyAfterMs) throws Exception {
-        holdRequests();
-        List<String> left = new ArrayList<>();
+    /** Four requests, each on a connection of its own; adds their ids. */
+    private List<QueryClient> sendRequests(List<String> ids) throws Exception {
         List<QueryClient> clients = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
             QueryClient client = newClient();
             client.sendRequest(REPORT, "", "SELECT 1", 9000);
-            left.add(jobIds.latest());
+            ids.add(jobIds.latest());
             clients.add(client);
         }
+        return clients;
+    }
+
+    /** A client without a path closes: its request must not be sent when the process goes on. */
+    @ParameterizedTest
+    @ValueSource(ints = {5, 15, 25, 35})
+    void firstCall_clientClosedDuringPause_isNotSent(int engineReadyAfterMs) throws Exception {
+        holdRequests();
+        List<String> left = new ArrayList<>();
+        List<QueryClient> clients = sendRequests(left);
         Thread.sleep(100);
         manager.pause();
         for (QueryClient client : clients) {
@@ -80,13 +86,7 @@
     void pathSent_clientClosedDuringPause_isNotSent(int engineReadyAfterMs) throws Exception {
         holdRequests();
         List<String> left = new ArrayList<>();
-        List<QueryClient> clients = new ArrayList<>();
-        for (int i = 0; i < 4; i++) {
-            QueryClient client = newClient();
-            client.sendRequest(REPORT, "", "SELECT 1", 9000);
-            left.add(jobIds.latest());
-            clients.add(client);
-        }
+        List<QueryClient> clients = sendRequests(left);
         for (QueryClient client : clients) {
             client.read().pollPath();
         }
