--- a/src/main/java/firstage/server/FlightRecorder.java
+++ b/src/main/java/firstage/server/FlightRecorder.java
@@ -55,7 +55,7 @@
 
     private static final Logger LOG = Logger.getLogger(FlightRecorder.class.getName());
 
-    /** Some ten seconds of a manager in heavy traffic; 32 bytes each. */
+    /** The last seconds of a manager in heavy traffic; some 40 bytes each. */
     private static final int CAPACITY = 2_048;
 
     /** Between two dumps: one fault is logged once, not with each of its consequences. */
