The soak's defects compile; a test holds the guard's age against the target

TIMERS_BEFORE_READS did not compile: the compiler expands no wildcard when it is called from a program.

--- a/src/test/java/firstage/lifecycle/SendGuardTest.java
+++ b/src/test/java/firstage/lifecycle/SendGuardTest.java
@@ -4,6 +4,7 @@
 
 import firstage.lifecycle.SendGuard.Knowledge;
 import firstage.lifecycle.SendGuard.Verdict;
+import firstage.util.Ticks;
 import org.junit.jupiter.api.Test;
 
 class SendGuardTest {
@@ -15,6 +16,14 @@
         return new Knowledge(true, true, false, false, clientSeenAt, readAsOf, DEADLINE);
     }
 
+    /** With twice as old knowledge a statement may go out over 0.1 s after its client left. */
+    @Test
+    void knowledgeAgeAndPollGrace_areAtMostHalfOfWhatIsAllowed() {
+        long allowed = Ticks.ofMillis(100);
+        assertThat(2 * SendGuard.MAX_KNOWLEDGE_AGE).isLessThanOrEqualTo(allowed);
+        assertThat(2 * ClientCallStateMachine.POLL_GRACE).isLessThanOrEqualTo(allowed);
+    }
+
     @Test
     void decide_freshKnowledge_sends() {
         assertThat(SendGuard.decide(NOW, knowledge(NOW, NOW - SendGuard.MAX_KNOWLEDGE_AGE)))
--- a/src/test/java/firstage/soak/SeededDefect.java
+++ b/src/test/java/firstage/soak/SeededDefect.java
@@ -4,6 +4,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import javax.tools.JavaCompiler;
 import javax.tools.ToolProvider;
 
@@ -61,12 +63,11 @@
         Files.createDirectories(classes);
         Files.writeString(changed, source.replace(original, replacement));
         JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
-        String classPath = Path.of("target", "classes") + ":" + Path.of("target", "lib", "*");
         List<String> arguments =
                 List.of(
                         "-XDignore.symbol.file",
                         "-cp",
-                        classPath,
+                        classPath(),
                         "-d",
                         classes.toString(),
                         changed.toString());
@@ -80,4 +81,13 @@
                                 + classes.toAbsolutePath()
                                 + ":target/firstage.jar:target/lib/* firstage.cli.Main");
     }
+
+    /** The compiler, called from a program, expands no wildcard. */
+    private static String classPath() throws IOException {
+        try (Stream<Path> libraries = Files.list(Path.of("target", "lib"))) {
+            return Path.of("target", "classes")
+                    + ":"
+                    + libraries.map(Path::toString).collect(Collectors.joining(":"));
+        }
+    }
 }
