Review, case 3 anew: bad clients that come again at once hang the manager

The loop that accepts connections has no bound and reads each call inside it: 60 clients that send a request without an id and a body of 60,000 bytes, read the 400 and come again keep the one I/O thread in it. Requests of others that were accepted get no answer.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,7 +4,7 @@
 here=$(pwd)
 root=$(cd ../.. && pwd)
 [ -f "$root/target/firstage.jar" ] && [ -f ../classes/Run.class ] || exit 2
-timeout -k 3 115 java -Xmx512m -cp ../classes LateList "$root" "$here" 
+timeout -k 3 115 java -Xmx512m -cp ../classes BadClients "$root" "$here"
 status=$?
 [ $status -le 1 ] || exit 2
 exit $status
