A call behind another, or a body that GET /alive ignores, ends its connection

Callers saw (in tests): beside four clients that wrote GET /alive without waiting for answers, 3 of 12 usual requests were served; beside four whose GET /alive had a body without end, a request got no answer in its time. Cause: Undertow handles a call that is already buffered as a task, and tasks run before the next selector pass; the end of an exchange reads its body until the input pauses. Both are as long as the client wants. Submissions were refused for it already (client-errors.md); /alive and refusals were not. Change: /alive with a body is refused with 400, and a call behind any other call with "one call at a time"; both close the connection. Measured: IoThreadFairnessIT.requests_besideClientWhoseInputNeverPauses, cases 1 and 2, fail on the old code and pass now; case 3, chunks with long extensions, passed there, too.

--- a/src/main/java/firstage/server/client/ClientHandler.java
+++ b/src/main/java/firstage/server/client/ClientHandler.java
@@ -329,6 +329,10 @@
     private void handleAlive(HttpServerExchange exchange) {
         if (!exchange.getRequestMethod().equals(Methods.GET)) {
             responses.refuse(exchange, 405, "GET only");
+        } else if (!exchange.isRequestComplete()) {
+            responses.refuse(exchange, 400, "body not allowed");
+        } else if (ClientProtocol.isPipelined(exchange)) {
+            responses.refuseAndClose(exchange, 400, "one call at a time");
         } else {
             exchange.setStatusCode(200);
             exchange.setPersistent(exchange.isPersistent() && !responses.isClosing());
--- a/src/main/java/firstage/server/client/ClientResponses.java
+++ b/src/main/java/firstage/server/client/ClientResponses.java
@@ -117,10 +117,10 @@
 
     /**
      * Answers an unusable call with an error; the call has not reached an engine. The connection is
-     * closed if the manager shuts down.
+     * closed if the client sends more than this call, or if the manager shuts down.
      */
     void refuse(HttpServerExchange exchange, int status, String reason) {
-        if (!exchange.isRequestComplete()) {
+        if (!exchange.isRequestComplete() || ClientProtocol.isPipelined(exchange)) {
             refuseAndClose(exchange, status, reason);
             return;
         }
--- a/src/test/java/firstage/server/IoThreadFairnessIT.java
+++ b/src/test/java/firstage/server/IoThreadFairnessIT.java
@@ -7,17 +7,20 @@
 import static firstage.fixtures.ManagerSettings.REPORT;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import firstage.fixtures.BackgroundTasks;
 import firstage.fixtures.HttpMessage;
 import firstage.fixtures.ManagerFixture;
 import firstage.fixtures.QueryClient;
 import firstage.fixtures.RepeatingClients;
 import firstage.fixtures.RepeatingClients.Conduct;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests that no peer decides how long the I/O thread stays with its input. */
 class IoThreadFairnessIT extends ManagerFixture {
@@ -100,6 +103,48 @@
         }
     }
 
+    /** Guards against a single client whose input never pauses. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "GET /alive HTTP/1.1\r\nHost: h\r\n\r\n|GET /alive HTTP/1.1\r\nHost: h\r\n\r\n",
+                "GET /alive HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n|"
+                        + "1000\r\nBODY\r\n",
+                "POST /ops/lookup HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n|"
+                        + "1;BODY\r\na\r\n"
+            })
+    void requests_besideClientWhoseInputNeverPauses_areAnswered(String headAndRest)
+            throws Exception {
+        String[] parts = headAndRest.replace("BODY", "a".repeat(0x1000)).split("\\|");
+        byte[] rest = parts[1].repeat(100).getBytes(StandardCharsets.US_ASCII);
+        for (int i = 0; i < 4; i++) {
+            BackgroundTasks.start(
+                    () -> {
+                        while (manager.isAlive()) {
+                            writeWithoutPause(parts[0], rest);
+                        }
+                    });
+        }
+        assertThat(servedShareOfAnsweredRequests()).isGreaterThan(MIN_SERVED_SHARE);
+    }
+
+    private void writeWithoutPause(String head, byte[] rest) {
+        try (QueryClient client = newClient()) {
+            BackgroundTasks.start(
+                    () -> {
+                        while (client.readByte() >= 0) {
+                            // The answers are read, so that the manager can always write.
+                        }
+                    });
+            client.sendBytes(head.getBytes(StandardCharsets.US_ASCII));
+            while (manager.isAlive()) {
+                client.sendBytes(rest);
+            }
+        } catch (IOException closed) {
+            // The manager closed the connection.
+        }
+    }
+
     /** Guards against a shutdown that never ends, or loses requests, as such clients go on. */
     @ParameterizedTest
     @CsvSource({"RECONNECTS, 60000", "STAYS_CONNECTED, 10000"})
