Endpoint updates get a time slice per selector pass

Callers saw (in a test): a coordinator that writes changes without a pause kept the I/O thread with its connection; a request beside it got no answer in time. Cause: EndpointWatcher.onReadable read until nothing was there and applied each frame, with a log line and a decision each, inside the loop. Change: one buffer is read per pass; frames are applied for 5 ms, the rest waits for the next pass and nothing more is read until then. The list is confirmed only once all that was received is applied, as before.

--- a/src/main/java/firstage/server/IoThreadMonitor.java
+++ b/src/main/java/firstage/server/IoThreadMonitor.java
@@ -16,6 +16,7 @@
         ACCEPT,
         CLIENT_READS,
         CLIENT_CALLS,
+        ENDPOINT_UPDATES,
         OTHER;
 
         private final String counter = "max I/O step " + label() + ", us";
--- a/src/main/java/firstage/server/ManagerServer.java
+++ b/src/main/java/firstage/server/ManagerServer.java
@@ -68,7 +68,9 @@
         engines = new EngineClients(io, clock, counters, this, guard, config);
         clientHandler =
                 new ClientHandler(io, clock, counters, this, guard, clientWork, monitor, config);
-        endpointWatcher = new EndpointWatcher(io, clock, counters, this, guard, config);
+        endpointWatcher =
+                new EndpointWatcher(
+                        io, clock, counters, this, guard, selectorPass, monitor, config);
         loop = new SchedulerLoop(io, clock, counters, guard, endpointWatcher::isConfirmed);
         requests = new RequestRegistry(clock, counters);
         requestEvents = new RequestEventHandler(clock, barrier, loop, requests);
--- a/src/main/java/firstage/server/discovery/EndpointWatcher.java
+++ b/src/main/java/firstage/server/discovery/EndpointWatcher.java
@@ -5,11 +5,15 @@
 import firstage.server.ActionGuard;
 import firstage.server.Counters;
 import firstage.server.InterruptSafeConduits;
+import firstage.server.IoThreadMonitor;
+import firstage.server.IoThreadMonitor.Step;
+import firstage.server.SelectorPass;
 import firstage.server.ServerEvents;
 import firstage.server.TickClock;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
@@ -59,6 +63,9 @@
      */
     private static final long CONFIRM_TIMEOUT_MS = 1_000;
 
+    /** Time per selector pass in which updates are applied, exceeded by one update at most. */
+    private static final long UPDATE_SLICE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+
     /** Maximum number of endpoints that are listed in a log line. */
     private static final int MAX_LOGGED_ENDPOINTS = 8;
 
@@ -66,6 +73,8 @@
     private final Counters counters;
     private final ServerEvents events;
     private final ActionGuard guard;
+    private final SelectorPass selectorPass;
+    private final IoThreadMonitor monitor;
     private final EndpointParser parser;
     private final TickClock clock;
     private InetSocketAddress coordinator;
@@ -78,6 +87,9 @@
     /** Whether the coordinator confirmed the list since the start, or failed to do so in time. */
     private boolean confirmed;
 
+    /** Frames of the current connection that are not applied yet. */
+    private final ArrayDeque<FrameDecoder.Frame> receivedFrames = new ArrayDeque<>();
+
     private final ByteBuffer readBuffer = ByteBuffer.allocate(16 * 1024);
     private long lastEventNumber;
     private StreamConnection connection;
@@ -99,11 +111,15 @@
             Counters counters,
             ServerEvents events,
             ActionGuard guard,
+            SelectorPass selectorPass,
+            IoThreadMonitor monitor,
             ManagerConfig config) {
         this.io = io;
         this.counters = counters;
         this.events = events;
         this.guard = guard;
+        this.selectorPass = selectorPass;
+        this.monitor = monitor;
         this.clock = clock;
         parser = new EndpointParser(clock, config.settings());
     }
@@ -286,44 +302,87 @@
         }
         silenceTimer = null;
         reconnectTimer = null;
+        receivedFrames.clear();
         IoUtils.safeClose(connection);
         connection = null;
     }
 
+    /** Reads one buffer; the selector reports the connection again if there is more. */
     private void onReadable(ConduitStreamSourceChannel source) {
+        if (!source.isOpen()) {
+            return;
+        }
         try {
-            while (source.isOpen()) {
-                readBuffer.clear();
-                int bytesRead = source.read(readBuffer);
-                if (bytesRead == 0) {
-                    return;
-                }
-                if (bytesRead < 0) {
-                    onConnectionLost();
-                    return;
-                }
+            readBuffer.clear();
+            int bytesRead = source.read(readBuffer);
+            if (bytesRead < 0) {
+                onConnectionLost();
+            } else if (bytesRead > 0) {
                 restartSilenceTimer();
-                if (!dataReceived) {
-                    dataReceived = true;
-                    long sinceConfigured = clock.now() - configuredAt;
-                    LOG.info(
-                            () ->
-                                    "coordinator connected address="
-                                            + coordinator
-                                            + " sinceConfiguredMs="
-                                            + sinceConfigured / 10);
-                }
-                for (FrameDecoder.Frame frame : frameDecoder.decode(readBuffer.flip())) {
-                    applyFrame(frame);
-                }
-                if (!frameDecoder.hasPartialFrame()) {
-                    confirm();
-                }
+                logFirstData();
+                receivedFrames.addAll(frameDecoder.decode(readBuffer.flip()));
+                applyReceivedFrames();
             }
         } catch (IOException exception) {
-            LOG.warning("coordinator connection closed cause=" + exception.getMessage());
-            counters.count("malformed or broken endpoint streams");
-            onConnectionLost();
+            onStreamBroken(exception);
+        }
+    }
+
+    private void logFirstData() {
+        if (!dataReceived) {
+            dataReceived = true;
+            long sinceConfigured = clock.now() - configuredAt;
+            LOG.info(
+                    () ->
+                            "coordinator connected address="
+                                    + coordinator
+                                    + " sinceConfiguredMs="
+                                    + sinceConfigured / 10);
+        }
+    }
+
+    private void onStreamBroken(IOException exception) {
+        LOG.warning("coordinator connection closed cause=" + exception.getMessage());
+        counters.count("malformed or broken endpoint streams");
+        onConnectionLost();
+    }
+
+    /**
+     * Applies the received frames within a time slice. The rest waits for the next selector pass,
+     * and nothing more is read until then.
+     */
+    private void applyReceivedFrames() throws IOException {
+        long startedAtNanos = monitor.begin(Step.ENDPOINT_UPDATES);
+        int applied = 0;
+        try {
+            while (!receivedFrames.isEmpty()
+                    && System.nanoTime() - startedAtNanos < UPDATE_SLICE_NANOS) {
+                applyFrame(receivedFrames.poll());
+                applied++;
+            }
+        } finally {
+            monitor.end(Step.ENDPOINT_UPDATES, startedAtNanos, applied);
+        }
+        if (!receivedFrames.isEmpty()) {
+            counters.count("endpoint updates deferred");
+            long generation = connectionGeneration;
+            connection.getSourceChannel().suspendReads();
+            selectorPass.runAfterNext(() -> applyDeferredFrames(generation));
+        } else if (!frameDecoder.hasPartialFrame()) {
+            confirm();
+        }
+    }
+
+    private void applyDeferredFrames(long generation) {
+        if (generation != connectionGeneration) {
+            return;
+        }
+        try {
+            restartSilenceTimer();
+            connection.getSourceChannel().resumeReads();
+            applyReceivedFrames();
+        } catch (IOException exception) {
+            onStreamBroken(exception);
         }
     }
 
--- a/src/test/java/firstage/server/IoThreadFairnessIT.java
+++ b/src/test/java/firstage/server/IoThreadFairnessIT.java
@@ -5,6 +5,8 @@
 import static firstage.fixtures.EngineWire.STILL_RUNNING;
 import static firstage.fixtures.ManagerSettings.LOOKUP;
 import static firstage.fixtures.ManagerSettings.REPORT;
+import static firstage.fixtures.ScriptedCoordinator.READY;
+import static firstage.fixtures.ScriptedCoordinator.endpoint;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import firstage.fixtures.BackgroundTasks;
@@ -145,6 +147,19 @@
         }
     }
 
+    /** Guards against a coordinator that announces changes faster than they are applied. */
+    @Test
+    void requests_besideCoordinatorThatNeverPauses_areAnswered() throws Exception {
+        assertThat(coordinator.watchStarts().take()).isEqualTo(1L);
+        BackgroundTasks.start(
+                () -> {
+                    for (int number = 2; manager.isAlive(); number++) {
+                        coordinator.publish(number, endpoint(2, engine.port(), READY));
+                    }
+                });
+        assertThat(servedShareOfAnsweredRequests()).isGreaterThan(MIN_SERVED_SHARE);
+    }
+
     /** Guards against a shutdown that never ends, or loses requests, as such clients go on. */
     @ParameterizedTest
     @CsvSource({"RECONNECTS, 60000", "STAYS_CONNECTED, 10000"})
