An engine's connection is read at most eight times in a selector pass

Cause, by reading: the loop ended only when nothing was there. An engine can't keep it going by bytes (a response and what follows it are limited), but by answers, as the next call on a connection may be made within the loop. Change: eight buffers per pass, more than the longest response; the selector reports the rest. No fault was seen from it, and no test fails without it.

--- a/src/main/java/firstage/server/engine/EngineConnection.java
+++ b/src/main/java/firstage/server/engine/EngineConnection.java
@@ -19,6 +19,13 @@
  */
 final class EngineConnection {
     private static final byte[] HTTP_VERSION_PREFIX = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
+
+    /**
+     * Maximum number of buffers that are read in a selector pass; more than the longest response.
+     * The selector reports the connection again if there is more.
+     */
+    private static final int MAX_READS_PER_PASS = 8;
+
     private final EngineConnectionPool pool;
     private final XnioIoThread io;
     private final ActionGuard guard;
@@ -160,7 +167,7 @@
 
     private void onReadable(ConduitStreamSourceChannel source) {
         try {
-            while (!closed) {
+            for (int reads = 0; reads < MAX_READS_PER_PASS && !closed; reads++) {
                 readBuffer.clear();
                 int bytesRead = source.read(readBuffer);
                 if (bytesRead == 0) {
