--- a/src/main/java/firstage/server/TimeSlicedQueue.java
+++ b/src/main/java/firstage/server/TimeSlicedQueue.java
@@ -51,9 +51,12 @@
     /** Runs a task now and counts its time; to be called if {@link #mayRunNow} allows it. */
     public void runNow(Runnable task) {
         long startedAtNanos = monitor.begin(step);
-        runTimed(task);
-        monitor.end(step, startedAtNanos, 1);
-        onWorkDone.run();
+        try {
+            runTimed(task);
+        } finally {
+            monitor.end(step, startedAtNanos, 1);
+            onWorkDone.run();
+        }
     }
 
     /** Queues a task. */
@@ -94,15 +97,18 @@
         }
         long startedAtNanos = monitor.begin(step);
         int tasks = 0;
-        while (!queue.isEmpty() && spentNanos < sliceNanos) {
-            QueuedTask next = queue.pollFirst();
-            counters.recordMax(
-                    "max delay of deferred " + name + ", us",
-                    TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - next.addedAtNanos));
-            runTimed(next.task);
-            tasks++;
+        try {
+            while (!queue.isEmpty() && spentNanos < sliceNanos) {
+                QueuedTask next = queue.pollFirst();
+                counters.recordMax(
+                        "max delay of deferred " + name + ", us",
+                        TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - next.addedAtNanos));
+                runTimed(next.task);
+                tasks++;
+            }
+        } finally {
+            monitor.end(step, startedAtNanos, tasks);
         }
-        monitor.end(step, startedAtNanos, tasks);
     }
 
     private void runTimed(Runnable task) {
