The soak's seeds have clients that come again as soon as they are refused

Why no test of ours fell: all their clients came once or kept silent. Each seed now has one group of each conduct (comes again on a new connection, on the same one, sends and goes), 15 to 30 clients for 0.8 to 1.5 s with 10 or 60 kB, drawn from a stream of its own, so that all else of a seed stays as it was. Groups of 30 to 60 for up to 4 s, tried first, starved the test's own process on a machine at a load of 18 (late and "sent after it was answered" by its clocks; the manager's trace shows the statement written 157 ms before the answer), and clients that send and go without a pause filled the listen queue.

--- a/src/test/java/firstage/soak/FaultSoak.java
+++ b/src/test/java/firstage/soak/FaultSoak.java
@@ -5,12 +5,14 @@
 import firstage.faulttest.FaultTestRun;
 import firstage.faulttest.FaultTestSpec;
 import firstage.fixtures.HttpMessage;
+import firstage.fixtures.RepeatingClients;
 import firstage.fixtures.SystemCallFaults;
 import firstage.simulation.GeneratedRequest;
 import firstage.simulation.RandomStreams;
 import firstage.simulation.RuleChecker.ClientTry;
 import firstage.soak.ClientScript.Departure;
 import firstage.soak.SoakPlan.ExtraFault;
+import firstage.soak.SoakPlan.InvalidCallers;
 import firstage.util.Ticks;
 import java.io.IOException;
 import java.net.ConnectException;
@@ -25,6 +27,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
@@ -76,6 +79,7 @@
     private final Map<String, Integer> faultCounts = new ConcurrentHashMap<>();
     private final List<Thread> threads = new ArrayList<>();
     private final List<Process> busyProcesses = new ArrayList<>();
+    private final List<RepeatingClients> repeatingClients = new CopyOnWriteArrayList<>();
     private final AtomicInteger requests = new AtomicInteger();
     private final AtomicInteger departures = new AtomicInteger();
 
@@ -184,6 +188,36 @@
         for (ExtraFault fault : plan.extraFaults()) {
             running.loop().events().schedule(Ticks.ofMillis(fault.atMs()), () -> inject(fault));
         }
+        for (InvalidCallers callers : plan.invalidCallers()) {
+            running.loop()
+                    .events()
+                    .schedule(Ticks.ofMillis(callers.atMs()), () -> startInvalidCallers(callers));
+        }
+    }
+
+    private void startInvalidCallers(InvalidCallers callers) {
+        test.record(
+                "invalid callers",
+                "subject",
+                callers.manager(),
+                "count",
+                callers.count(),
+                "body",
+                callers.bodyBytes(),
+                "conduct",
+                callers.conduct().name(),
+                "length_ms",
+                callers.lengthMs());
+        faultCounts.merge("INVALID_CALLERS_" + callers.conduct(), 1, Integer::sum);
+        RepeatingClients clients =
+                new RepeatingClients(
+                        test.managerAddress(callers.manager()),
+                        callers.count(),
+                        RepeatingClients.callWithoutId(
+                                SoakPlan.TRAFFIC_CLASSES.get(0), callers.bodyBytes()),
+                        callers.conduct());
+        repeatingClients.add(clients);
+        test.loop().events().schedule(Ticks.ofMillis(callers.lengthMs()), clients::close);
     }
 
     private void start(Runnable client) {
@@ -322,6 +356,7 @@
 
     @Override
     public void awaitClients() {
+        repeatingClients.forEach(RepeatingClients::close);
         long deadlineNs = System.nanoTime() + CLIENT_TIMEOUT_MS * 1_000_000L;
         for (Thread thread : List.copyOf(threads)) {
             try {
--- a/src/test/java/firstage/soak/SoakPlan.java
+++ b/src/test/java/firstage/soak/SoakPlan.java
@@ -1,5 +1,6 @@
 package firstage.soak;
 
+import firstage.fixtures.RepeatingClients.Conduct;
 import firstage.fixtures.SystemCallFaults;
 import firstage.simulation.FleetPlan;
 import firstage.simulation.FleetPlanReader;
@@ -15,9 +16,14 @@
  *
  * @param text text of the plan
  * @param extraFaults faults in addition to the plan's
+ * @param invalidCallers clients whose calls are refused and who come again at once
  */
 record SoakPlan(
-        String text, FleetPlan plan, List<ClientScript> clients, List<ExtraFault> extraFaults) {
+        String text,
+        FleetPlan plan,
+        List<ClientScript> clients,
+        List<ExtraFault> extraFaults,
+        List<InvalidCallers> invalidCallers) {
     /** Names of the plan's traffic classes, by index. */
     static final List<String> TRAFFIC_CLASSES = List.of("lookup", "report", "log-load");
 
@@ -64,6 +70,14 @@
         BUSY_PROCESSES
     }
 
+    /**
+     * Clients that make the same invalid call again as soon as it is refused.
+     *
+     * @param bodyBytes length of the body of each call
+     */
+    record InvalidCallers(
+            int manager, int atMs, int lengthMs, int count, int bodyBytes, Conduct conduct) {}
+
     /** Draws the plan of a seed. */
     static SoakPlan draw(long seed, int managers) {
         RandomGenerator random = new RandomStreams(seed).stream("soak", 0);
@@ -83,7 +97,28 @@
             clients.add(client(random, i, managers, pauses));
         }
         return new SoakPlan(
-                text.toString(), FleetPlanReader.read(text.toString()), clients, extraFaults);
+                text.toString(),
+                FleetPlanReader.read(text.toString()),
+                clients,
+                extraFaults,
+                invalidCallers(seed, managers));
+    }
+
+    /** Draws one group of each conduct; from a stream of its own, so that all else stays. */
+    private static List<InvalidCallers> invalidCallers(long seed, int managers) {
+        RandomGenerator random = new RandomStreams(seed).stream("soak invalid callers", 0);
+        List<InvalidCallers> callers = new ArrayList<>();
+        for (Conduct conduct : Conduct.values()) {
+            callers.add(
+                    new InvalidCallers(
+                            random.nextInt(managers),
+                            drawTime(random),
+                            800 + random.nextInt(700),
+                            15 + random.nextInt(16),
+                            random.nextBoolean() ? 10_000 : 60_000,
+                            conduct));
+        }
+        return callers;
     }
 
     /**
