ClientListener accepts connections; ClientHandler keeps the calls

Accepting had grown into a job of its own: the bound, the retry after a failed accept, the connection limit. Moved as it stood, no behaviour changed.

--- a/src/main/java/firstage/server/client/ClientHandler.java
+++ b/src/main/java/firstage/server/client/ClientHandler.java
@@ -6,7 +6,6 @@
 import firstage.server.Counters;
 import firstage.server.InterruptSafeConduits;
 import firstage.server.IoThreadMonitor;
-import firstage.server.IoThreadMonitor.Step;
 import firstage.server.RequestExchange;
 import firstage.server.ServerEvents;
 import firstage.server.TickClock;
@@ -21,37 +20,22 @@
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.channels.SocketChannel;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
-import java.util.logging.Logger;
-import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.StreamConnection;
 import org.xnio.XnioIoThread;
-import org.xnio.nio.IoThreadTcpServer;
 
 /**
- * HTTP server for the clients: accepts connections, dispatches each call by its path, and reports
- * accepted requests as events. Owned by the I/O thread.
+ * HTTP server for the clients: dispatches each call by its path, and reports accepted requests as
+ * events. Owned by the I/O thread.
  */
 public final class ClientHandler {
-    private static final Logger LOG = Logger.getLogger(ClientHandler.class.getName());
-
     /**
      * Limit on the head of a call; a longer head is answered with 431. A head of more than four
      * times the limit is answered like input that is not HTTP.
      */
     private static final int MAX_HEAD_BYTES = 16 * 1024;
 
-    private static final int ACCEPT_BACKLOG = 512;
-
-    /** Maximum number of connections that wait at a time; the system lets one more in. */
-    private static final int MAX_WAITING_CONNECTIONS = ACCEPT_BACKLOG + 1;
-
-    /** Delay before accepting is tried again while the system can't accept connections. */
-    private static final int ACCEPT_RETRY_MS = 5;
-
     /**
      * Retry delay sent to a client whose statement can't be kept for lack of memory; much of what
      * is kept is released by then.
@@ -64,7 +48,6 @@
     private final ServerEvents events;
     private final ActionGuard guard;
     private final ClientWork work;
-    private final IoThreadMonitor monitor;
     private final InetSocketAddress listenAddress;
     private final ClientConnections connections;
     private final ClientResponses responses;
@@ -72,17 +55,7 @@
     private final TrafficClasses trafficClasses;
     private final StatementCallValidator validator;
     private final StatementReceiver statementReceiver;
-    private IoThreadTcpServer listener;
-
-    /** Whether the last accept failed, so that connections may still wait to be accepted. */
-    private boolean acceptFailing;
-
-    /** Whether connections wait until queued calls are handled, as all others have a call. */
-    private boolean acceptHeldBack;
-
-    /** Whether the listener is about to be closed. */
-    private boolean stopping;
-
+    private final ClientListener listener;
     private HttpOpenListener httpListener;
 
     public ClientHandler(
@@ -100,7 +73,6 @@
         this.events = events;
         this.guard = guard;
         this.work = work;
-        this.monitor = monitor;
         this.listenAddress = config.listenAddress();
         connections = new ClientConnections(io, counters, config.maxClientConnections());
         responses = new ClientResponses(io, clock, counters, guard, connections);
@@ -109,6 +81,9 @@
         validator = new StatementCallValidator(trafficClasses, pendingCalls::isOpen);
         statementReceiver =
                 new StatementReceiver(counters, guard, responses, this::handleStatement);
+        listener =
+                new ClientListener(
+                        io, counters, guard, work, monitor, connections, this::onConnectionOpened);
     }
 
     /**
@@ -128,95 +103,19 @@
                                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
                                 .getMap());
         httpListener.setRootHandler(new HttpContinueReadHandler(this::handle));
-        listener = IoThreadTcpServer.listen(io, listenAddress, ACCEPT_BACKLOG, this::acceptPending);
+        listener.bind(listenAddress);
     }
 
     /** Starts to accept connections; called on the I/O thread. */
     public void startAccepting() {
-        listener.resumeAccepts();
+        listener.start();
         connections.sweep();
         responses.sweepStalledWrites();
     }
 
-    /**
-     * Accepts all connections that wait now; if only some were accepted, requests on the others
-     * would be read several selector passes later. Those that come meanwhile are left for the next
-     * pass, so that clients that connect again and again can't keep the thread here. While the
-     * system can't accept any, tries again every {@link #ACCEPT_RETRY_MS}.
-     */
-    private void acceptPending() {
-        if (!listener.isOpen()) {
-            acceptFailing = false;
-            acceptHeldBack = false;
-            return;
-        }
-        try {
-            acceptWaiting();
-            if (acceptFailing) {
-                acceptFailing = false;
-                listener.resumeAccepts();
-            }
-        } catch (IOException exception) {
-            counters.count("connections not accepted");
-            if (!acceptFailing) {
-                LOG.warning("connections not accepted cause=" + exception.getMessage());
-                acceptFailing = true;
-                guard.onAcceptFailed();
-            }
-            listener.suspendAccepts();
-            io.executeAfter(this::acceptPending, ACCEPT_RETRY_MS, TimeUnit.MILLISECONDS);
-        }
-    }
-
-    private void acceptWaiting() throws IOException {
-        long startedAtNanos = monitor.begin(Step.ACCEPT);
-        int accepted = 0;
-        boolean mayAccept = mayAccept();
-        try {
-            SocketChannel next = mayAccept ? listener.accept() : null;
-            while (next != null) {
-                register(next);
-                accepted++;
-                mayAccept = mayAccept();
-                next = mayAccept && accepted < MAX_WAITING_CONNECTIONS ? listener.accept() : null;
-            }
-        } finally {
-            monitor.end(Step.ACCEPT, startedAtNanos, accepted);
-        }
-        setAcceptHeldBack(!mayAccept);
-    }
-
-    /**
-     * Returns whether to accept another connection. At the limit, it or one that is about to carry
-     * a call would be closed, though queued calls of others are about to end; it is left for a
-     * later pass of the selector instead.
-     */
-    private boolean mayAccept() {
-        return connections.hasRoom() || work.calls().isEmpty() || stopping;
-    }
-
-    private void setAcceptHeldBack(boolean heldBack) {
-        if (heldBack) {
-            counters.count("accepts held back");
-            if (!acceptHeldBack) {
-                guard.onAcceptFailed();
-            }
-        }
-        acceptHeldBack = heldBack;
-    }
-
     /** Returns whether connections may wait that currently can't be accepted. */
     public boolean isAcceptFailing() {
-        return acceptFailing || acceptHeldBack;
-    }
-
-    private void register(SocketChannel accepted) {
-        try {
-            onConnectionOpened(listener.register(accepted));
-        } catch (IOException exception) {
-            LOG.warning("connection ended as it was accepted cause=" + exception.getMessage());
-            counters.count("connections ended as they were accepted");
-        }
+        return listener.isAcceptFailing();
     }
 
     private void onConnectionOpened(StreamConnection connection) {
@@ -240,14 +139,12 @@
         responses.startClosing(now);
         // This manager is responsible for requests on all connections that the kernel has accepted,
         // including those that this thread has not accepted yet.
-        acceptPending();
+        listener.acceptPending();
     }
 
     /** Accepts the waiting connections and then no more; calls on open ones are still answered. */
     public void stopAccepting() {
-        stopping = true;
-        acceptPending();
-        IoUtils.safeClose(listener);
+        listener.stop();
     }
 
     /**
