The endpoint list is confirmed only when nothing more is there to read

Suspected, by reading, not traced: since one piece was read per selector pass and the list confirmed after it; an evaluation runs before the next pass, so a restarted manager may have sent by a list whose drain lay in the next piece. Now it reads until nothing is there, within the time slice, and confirms then.

--- a/src/main/java/firstage/server/discovery/EndpointWatcher.java
+++ b/src/main/java/firstage/server/discovery/EndpointWatcher.java
@@ -307,17 +307,26 @@
         connection = null;
     }
 
-    /** Reads one buffer; the selector reports the connection again if there is more. */
+    /**
+     * Reads until nothing is there, for a time slice. The list is confirmed only then: a drain may
+     * be in the next piece, and an evaluation may come before the next selector pass.
+     */
     private void onReadable(ConduitStreamSourceChannel source) {
-        if (!source.isOpen()) {
-            return;
-        }
+        long startedAtNanos = System.nanoTime();
         try {
-            readBuffer.clear();
-            int bytesRead = source.read(readBuffer);
-            if (bytesRead < 0) {
-                onConnectionLost();
-            } else if (bytesRead > 0) {
+            while (source.isOpen()
+                    && receivedFrames.isEmpty()
+                    && System.nanoTime() - startedAtNanos < UPDATE_SLICE_NANOS) {
+                readBuffer.clear();
+                int bytesRead = source.read(readBuffer);
+                if (bytesRead < 0) {
+                    onConnectionLost();
+                    return;
+                }
+                if (bytesRead == 0) {
+                    confirmIfComplete();
+                    return;
+                }
                 restartSilenceTimer();
                 logFirstData();
                 receivedFrames.addAll(frameDecoder.decode(readBuffer.flip()));
@@ -328,6 +337,12 @@
         }
     }
 
+    private void confirmIfComplete() {
+        if (dataReceived && !frameDecoder.hasPartialFrame()) {
+            confirm();
+        }
+    }
+
     private void logFirstData() {
         if (!dataReceived) {
             dataReceived = true;
@@ -368,8 +383,6 @@
             long generation = connectionGeneration;
             connection.getSourceChannel().suspendReads();
             selectorPass.runAfterNext(() -> applyDeferredFrames(generation));
-        } else if (!frameDecoder.hasPartialFrame()) {
-            confirm();
         }
     }
 
@@ -381,6 +394,9 @@
             restartSilenceTimer();
             connection.getSourceChannel().resumeReads();
             applyReceivedFrames();
+            if (receivedFrames.isEmpty()) {
+                onReadable(connection.getSourceChannel());
+            }
         } catch (IOException exception) {
             onStreamBroken(exception);
         }
