The endpoint list is confirmed although its last update uses up the time slice

Cause: since the list is confirmed where a read finds nothing. A frame that took over 5 ms ended the loop without that read, and the selector reports no connection without input. The list stayed unconfirmed until the next heartbeat, or for 1 s; nothing is sent until then. A cold JVM on a slow machine needs 5 ms for the first heartbeat already. Change: one loop reads and applies within the slice; whatever ends it before a read found nothing continues in the next selector pass. The log tells whether the list was confirmed or acted on after 1 s, and a counter the latter.

--- a/src/main/java/firstage/server/discovery/EndpointWatcher.java
+++ b/src/main/java/firstage/server/discovery/EndpointWatcher.java
@@ -148,7 +148,7 @@
             LOG.warning("initial endpoints unreadable cause=" + exception.getMessage());
         }
         if (coordinator == null) {
-            guard.executeAfter(CONFIRM_TIMEOUT_MS, this::confirm);
+            guard.executeAfter(CONFIRM_TIMEOUT_MS, this::onConfirmTimeout);
         }
         coordinator = config.coordinatorAddress();
         closeConnection();
@@ -166,6 +166,19 @@
     private void confirm() {
         if (!confirmed) {
             confirmed = true;
+            LOG.info(() -> "endpoint list confirmed lastEvent=" + lastEventNumber);
+            events.onEndpointsConfirmed();
+        }
+    }
+
+    /**
+     * Acts on the list as it is: requests must not wait for a coordinator that can't be reached.
+     */
+    private void onConfirmTimeout() {
+        if (!confirmed) {
+            confirmed = true;
+            counters.count("endpoint lists unconfirmed");
+            LOG.warning("endpoint list not confirmed in time lastEvent=" + lastEventNumber);
             events.onEndpointsConfirmed();
         }
     }
@@ -307,36 +320,72 @@
         connection = null;
     }
 
-    /**
-     * Reads until nothing is there, for a time slice. The list is confirmed only then: a drain may
-     * be in the next piece, and an evaluation may come before the next selector pass.
-     */
     private void onReadable(ConduitStreamSourceChannel source) {
-        long startedAtNanos = System.nanoTime();
+        long startedAtNanos = monitor.begin(Step.ENDPOINT_UPDATES);
+        int updates = 0;
         try {
-            while (source.isOpen()
-                    && receivedFrames.isEmpty()
-                    && System.nanoTime() - startedAtNanos < UPDATE_SLICE_NANOS) {
-                readBuffer.clear();
-                int bytesRead = source.read(readBuffer);
-                if (bytesRead < 0) {
-                    onConnectionLost();
+            while (connection != null && source.isOpen()) {
+                if (System.nanoTime() - startedAtNanos >= UPDATE_SLICE_NANOS) {
+                    continueInNextPass(source);
                     return;
                 }
-                if (bytesRead == 0) {
-                    confirmIfComplete();
+                if (!receivedFrames.isEmpty()) {
+                    applyFrame(receivedFrames.poll());
+                    updates++;
+                } else if (!readMore(source)) {
                     return;
                 }
-                restartSilenceTimer();
-                logFirstData();
-                receivedFrames.addAll(frameDecoder.decode(readBuffer.flip()));
-                applyReceivedFrames();
             }
         } catch (IOException exception) {
-            onStreamBroken(exception);
+            LOG.warning("coordinator connection closed cause=" + exception.getMessage());
+            counters.count("malformed or broken endpoint streams");
+            onConnectionLost();
+        } finally {
+            monitor.end(Step.ENDPOINT_UPDATES, startedAtNanos, updates);
         }
     }
 
+    /**
+     * Reads and decodes the next bytes; returns whether there were any. The list is confirmed only
+     * when nothing is left to read: a drain may be in the next piece, and an evaluation may run
+     * before the next selector pass.
+     */
+    private boolean readMore(ConduitStreamSourceChannel source) throws IOException {
+        readBuffer.clear();
+        int bytesRead = source.read(readBuffer);
+        if (bytesRead < 0) {
+            onConnectionLost();
+            return false;
+        }
+        if (bytesRead == 0) {
+            confirmIfComplete();
+            return false;
+        }
+        restartSilenceTimer();
+        logFirstData();
+        receivedFrames.addAll(frameDecoder.decode(readBuffer.flip()));
+        return true;
+    }
+
+    /**
+     * Continues after the time slice. The selector reports only input that is not read yet, so it
+     * can't be relied on to continue with frames or to confirm the list.
+     */
+    private void continueInNextPass(ConduitStreamSourceChannel source) {
+        counters.count("endpoint updates deferred");
+        source.suspendReads();
+        long generation = connectionGeneration;
+        selectorPass.runAfterNext(
+                () -> {
+                    if (generation == connectionGeneration) {
+                        // The coordinator is not silent while its updates are applied.
+                        restartSilenceTimer();
+                        source.resumeReads();
+                        onReadable(source);
+                    }
+                });
+    }
+
     private void confirmIfComplete() {
         if (dataReceived && !frameDecoder.hasPartialFrame()) {
             confirm();
@@ -356,52 +405,6 @@
         }
     }
 
-    private void onStreamBroken(IOException exception) {
-        LOG.warning("coordinator connection closed cause=" + exception.getMessage());
-        counters.count("malformed or broken endpoint streams");
-        onConnectionLost();
-    }
-
-    /**
-     * Applies the received frames within a time slice. The rest waits for the next selector pass,
-     * and nothing more is read until then.
-     */
-    private void applyReceivedFrames() throws IOException {
-        long startedAtNanos = monitor.begin(Step.ENDPOINT_UPDATES);
-        int applied = 0;
-        try {
-            while (!receivedFrames.isEmpty()
-                    && System.nanoTime() - startedAtNanos < UPDATE_SLICE_NANOS) {
-                applyFrame(receivedFrames.poll());
-                applied++;
-            }
-        } finally {
-            monitor.end(Step.ENDPOINT_UPDATES, startedAtNanos, applied);
-        }
-        if (!receivedFrames.isEmpty()) {
-            counters.count("endpoint updates deferred");
-            long generation = connectionGeneration;
-            connection.getSourceChannel().suspendReads();
-            selectorPass.runAfterNext(() -> applyDeferredFrames(generation));
-        }
-    }
-
-    private void applyDeferredFrames(long generation) {
-        if (generation != connectionGeneration) {
-            return;
-        }
-        try {
-            restartSilenceTimer();
-            connection.getSourceChannel().resumeReads();
-            applyReceivedFrames();
-            if (receivedFrames.isEmpty()) {
-                onReadable(connection.getSourceChannel());
-            }
-        } catch (IOException exception) {
-            onStreamBroken(exception);
-        }
-    }
-
     private void applyFrame(FrameDecoder.Frame frame) throws IOException {
         if (frame.type() == 0 || frame.eventNumber() <= lastEventNumber) {
             return;
--- a/src/test/java/firstage/server/DiscoveryIT.java
+++ b/src/test/java/firstage/server/DiscoveryIT.java
@@ -11,6 +11,7 @@
 import firstage.fixtures.ManagerFixture;
 import firstage.fixtures.QueryClient;
 import firstage.fixtures.ScriptedEngine;
+import java.io.ByteArrayOutputStream;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 
@@ -102,6 +103,52 @@
         assertThat(secondEngine.calls()).isNotEmpty();
     }
 
+    /**
+     * Guards against statements that are sent while updates are still to be read: the drain of the
+     * only known engine is behind more updates than one read returns.
+     */
+    @Test
+    void start_drainBehindManyUpdates_nothingIsSentBeforeItIsApplied() throws Exception {
+        manager.kill();
+        coordinator.setHeartbeatsSuppressed(true);
+        ScriptedEngine secondEngine = newEngine();
+        int number = 2;
+        while (number < 600) {
+            coordinator.publishToLaterWatches(number++, CHANGE, endpoint(1, engine.port(), READY));
+        }
+        coordinator.publishToLaterWatches(number++, CHANGE, endpoint(1, engine.port(), DRAINING));
+        coordinator.publishToLaterWatches(number, CHANGE, endpoint(2, secondEngine.port(), READY));
+        CountDownLatch heldWatches = coordinator.holdNewWatches();
+        manager.start(config());
+        manager.awaitAlive();
+        try (QueryClient client = newClient()) {
+            client.sendRequest(LOOKUP, "", "SELECT 1", 5000);
+            Thread.sleep(100);
+            heldWatches.countDown();
+            assertThat(client.readToEnd().status()).isEqualTo(200);
+        }
+        assertThat(engine.calls()).isEmpty();
+        assertThat(secondEngine.calls()).isNotEmpty();
+    }
+
+    /**
+     * Guards against a list that is applied and yet stays unconfirmed, so that requests wait: it
+     * takes longer than the time slice of a selector pass, and nothing is sent after it.
+     */
+    @Test
+    void start_updateExceedsTimeSlice_isConfirmedWithoutFurtherInput() throws Exception {
+        manager.kill();
+        coordinator.setHeartbeatsSuppressed(true);
+        ByteArrayOutputStream endpoints = new ByteArrayOutputStream();
+        for (int id = 1; id <= 4_000; id++) {
+            endpoints.writeBytes(endpoint(id, engine.port(), READY));
+        }
+        coordinator.publishToLaterWatches(2, FULL_LIST, endpoints.toByteArray());
+        manager.start(config());
+        manager.awaitLog("endpoint list ");
+        assertThat(manager.log()).contains("endpoint list confirmed lastEvent=2");
+    }
+
     /** The coordinator accepts watches but sends nothing, so the configuration's list is used. */
     @Test
     void start_coordinatorUnresponsive_waitsNotLongerThanOneSecond() throws Exception {
@@ -114,5 +161,6 @@
             assertThat(client.requestToEnd(LOOKUP, "", "SELECT 1", 5000).status()).isEqualTo(200);
             assertThat(millisecondsSince(start)).isLessThan(2_000);
         }
+        assertThat(manager.log()).contains("endpoint list not confirmed in time lastEvent=1");
     }
 }
