A full endpoint list is applied in time by its length, not by its square

Seen by measurement: a full list of 38,000 engines (1 MB, the longest frame) held the I/O thread for 5.0, 6.2 and 7.2 s, one of 20,000 for 2.5 s; nobody is served meanwhile, no timer runs. The log names it: "I/O thread unresponsive step=endpoint updates". Cause: EngineClients.retainOnly looked up each known engine in a list. Change: it gets a set. What it decides is the same. DiscoveryIT.longList_ioThreadStaysResponsive fails before (1 run), passes now (2 runs).

--- a/src/main/java/firstage/server/EngineDirectory.java
+++ b/src/main/java/firstage/server/EngineDirectory.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.IntConsumer;
+import java.util.stream.Collectors;
 
 /**
  * Directory of the engines in the endpoint list, with the index and the zone of each. Passes
@@ -79,7 +80,10 @@
                             fleet.warmUpShare(endpoint)));
         }
         if (kind == EndpointUpdate.Kind.SNAPSHOT) {
-            engines.retainOnly(updated.stream().map(EndpointUpdate.Endpoint::engineId).toList());
+            engines.retainOnly(
+                    updated.stream()
+                            .map(EndpointUpdate.Endpoint::engineId)
+                            .collect(Collectors.toSet()));
         }
         loop.dispatch(
                 "endpoints updated",
--- a/src/main/java/firstage/server/engine/EngineClients.java
+++ b/src/main/java/firstage/server/engine/EngineClients.java
@@ -14,6 +14,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.xnio.XnioIoThread;
 
 /**
@@ -84,7 +85,7 @@
     }
 
     /** Closes the pools of all engines that are missing from a snapshot of the endpoint list. */
-    public void retainOnly(List<Integer> indices) {
+    public void retainOnly(Set<Integer> indices) {
         for (int i = 0; i < poolsByEngine.size(); i++) {
             if (poolsByEngine.get(i) != null && !indices.contains(i)) {
                 // Statements that still wait for a connection to this engine are not sent, either.
--- a/src/test/java/firstage/server/DiscoveryIT.java
+++ b/src/test/java/firstage/server/DiscoveryIT.java
@@ -17,6 +17,9 @@
 
 /** Tests the watch on the coordinator's endpoint list. */
 class DiscoveryIT extends ManagerFixture {
+    /** Endpoints in a list of half a megabyte, several times that of the largest fleet. */
+    private static final int LONG_LIST = 20_000;
+
     @Test
     void brokenWatch_reconnected_continuesAfterLastEvent() throws Exception {
         assertThat(coordinator.watchStarts().take()).isEqualTo(1L);
@@ -139,16 +142,38 @@
     void start_updateExceedsTimeSlice_isConfirmedWithoutFurtherInput() throws Exception {
         manager.kill();
         coordinator.setHeartbeatsSuppressed(true);
-        ByteArrayOutputStream endpoints = new ByteArrayOutputStream();
-        for (int id = 1; id <= 4_000; id++) {
-            endpoints.writeBytes(endpoint(id, engine.port(), READY));
-        }
-        coordinator.publishToLaterWatches(2, FULL_LIST, endpoints.toByteArray());
+        coordinator.publishToLaterWatches(2, FULL_LIST, endpoints(4_000));
         manager.start(config());
         manager.awaitLog("endpoint list ");
         assertThat(manager.log()).contains("endpoint list confirmed lastEvent=2");
     }
 
+    /**
+     * Guards against a list whose length decides how long the I/O thread serves nobody. The second
+     * list is checked, as the first also waits for classes to be loaded.
+     */
+    @Test
+    void longList_ioThreadStaysResponsive() throws Exception {
+        byte[] list = endpoints(LONG_LIST);
+        coordinator.publish(2, FULL_LIST, list);
+        manager.awaitLog("event=2");
+        manager.awaitAlive();
+        coordinator.publish(3, FULL_LIST, list);
+        manager.awaitLog("event=3");
+        manager.awaitAlive();
+        String log = manager.log();
+        assertThat(log.substring(log.indexOf("event=3"))).doesNotContain("I/O thread unresponsive");
+    }
+
+    /** Returns the records of this many endpoints, all at the address of the first engine. */
+    private byte[] endpoints(int count) {
+        ByteArrayOutputStream records = new ByteArrayOutputStream();
+        for (int id = 1; id <= count; id++) {
+            records.writeBytes(endpoint(id, engine.port(), READY));
+        }
+        return records.toByteArray();
+    }
+
     /** The coordinator accepts watches but sends nothing, so the configuration's list is used. */
     @Test
     void start_coordinatorUnresponsive_waitsNotLongerThanOneSecond() throws Exception {
