--- a/review/6/Case6.java
+++ b/review/6/Case6.java
@@ -1,60 +1,47 @@
 import java.io.IOException;
-import java.net.Socket;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Some answers of engines come twice, the second one some milliseconds late; engines are full at times. */
+/**
+ * Discovery is slow: it needs 3 s until it tells anything on a new connection. An engine drains and
+ * ends. The rule holds if nothing new goes to it later than the 7 s after which the event counts as
+ * told, plus the grace.
+ */
 final class Case6 {
-    static final int SECONDS = Integer.getInteger("seconds", 45);
-    /** One answer in so many comes twice. */
-    static final int ONE_IN = Integer.getInteger("oneIn", 8);
-    static final int MAX_LATE_MS = 8;
+    static final long SLOW_MS = 3_000;
+    static final long DRAIN_AT_MS = 6_000;
+    /** The draining engine goes on serving for so long, and ends then. */
+    static final long DRAIN_MS = 14_000;
+    static final long RUN_MS = 24_000;
+    /** Counts as told, grace for drains, slack of all time limits on sockets. */
+    static final long ALLOWED_MS = 7_000 + 500 + 50;
 
-    static final Map<String, List<String>> runs = new ConcurrentHashMap<>();
+    static volatile long drainedAt = Long.MAX_VALUE;
+    static final AtomicInteger inTime = new AtomicInteger();
+    static final Set<String> late = ConcurrentHashMap.newKeySet();
+    static volatile long latest;
 
-    static final class DoublingEngine extends Engine {
-        private final boolean trouble;
-        private final Random random;
-
-        DoublingEngine(int number, Record record, boolean trouble) throws IOException {
+    static final class CountingEngine extends Engine {
+        CountingEngine(int number, Record record) throws IOException {
             super(number, "127.0.0." + (10 + number), record);
-            this.trouble = trouble;
-            random = new Random(number);
-            capacity = Integer.getInteger("capacity", 10);
-        }
-
-        @Override
-        void answer(Socket socket, Http call, int status, byte[] bytes) throws IOException {
-            boolean twice;
-            long late;
-            synchronized (random) {
-                twice = trouble && random.nextInt(ONE_IN) == 0;
-                late = 1 + random.nextInt(MAX_LATE_MS);
-            }
-            write(socket, bytes);
-            if (twice) {
-                record.line("twice " + name + " " + status + " late=" + late + " to " + call.first);
-                Engine.daemon(
-                        () -> {
-                            pause(late);
-                            try {
-                                write(socket, bytes);
-                            } catch (IOException e) {
-                                // The manager has closed the connection.
-                            }
-                        });
-            }
         }
 
         @Override
         void onRun(Query query) {
-            if (query.group.equals("log-load")) {
-                runs.computeIfAbsent(query.id, id -> new ArrayList<>()).add(name);
+            long after = now() - drainedAt;
+            if (idNumber == 1 && after > 0) {
+                if (after <= ALLOWED_MS) {
+                    inTime.incrementAndGet();
+                } else {
+                    late.add(query.id);
+                    latest = after;
+                }
             }
         }
     }
@@ -67,10 +54,11 @@
         Record record = trial.record;
         List<Engine> engines = new ArrayList<>();
         for (int i = 1; i <= 3; i++) {
-            engines.add(new DoublingEngine(i, record, trial.trouble));
+            engines.add(new CountingEngine(i, record));
         }
         engines.forEach(Engine::start);
         Coordinator coordinator = new Coordinator("127.0.0.1", 1);
+        coordinator.slowMs = trial.trouble ? SLOW_MS : 0;
         String classes =
                 Trial.group("lookup", "retryable", 1, 5, 5, false) + ","
                         + Trial.group("log-load", "fragile", 4, 25, 5, true);
@@ -83,51 +71,54 @@
                             0, "\"via\":\"on_probe\",\"fields\":[\"waiting\"]");
             managers.add(new Manager("n" + rank, trial.folder, trial.root, coordinator.address(), engines, settings));
         }
-        long end = Engine.now() + SECONDS * 1_000L;
+        long start = Engine.now();
+        long end = start + RUN_MS;
         Map<Client.End, AtomicInteger> ends = new HashMap<>();
         for (Client.End e : Client.End.values()) {
             ends.put(e, new AtomicInteger());
         }
-        List<Thread> threads = new ArrayList<>();
-        for (int i = 0; i < Integer.getInteger("clients", 60); i++) {
+        AtomicInteger lateAndFailed = new AtomicInteger();
+        for (int i = 0; i < 24; i++) {
             int number = i;
             Random random = new Random(100 + i);
             Manager manager = managers.get(i % 2);
-            threads.add(
-                    Engine.daemon(
-                            () -> {
-                                Client client = new Client(record, manager);
-                                boolean load = number % 3 == 0;
-                                while (Engine.now() < end) {
-                                    Client.Result result =
-                                            load
-                                                    ? client.request(
-                                                            Client.newId(), "log-load", String.format("%016x", number), 25_000,
-                                                            "INSERT INTO logs_1.serving VALUES ('a') /* ms="
-                                                                    + (600 + random.nextInt(1_200)) + " rows=1 */", "")
-                                                    : client.request(
-                                                            Client.newId(), "lookup", null, 5_000,
-                                                            "SELECT a FROM fonts_" + random.nextInt(9) + ".licence /* ms="
-                                                                    + (60 + random.nextInt(200)) + " rows=3 */", "");
-                                    ends.get(result.end()).incrementAndGet();
-                                    Engine.pause(
-                                            result.end() == Client.End.REFUSED
-                                                    ? Math.max(100, result.waitMs())
-                                                    : random.nextInt(load ? 200 : 60));
-                                }
-                            }));
-        }
-        for (Thread thread : threads) {
-            thread.join(Math.max(1, end + 27_000 - Engine.now()));
-        }
-        int broken = 0;
-        for (Map.Entry<String, List<String>> run : runs.entrySet()) {
-            if (run.getValue().size() > 1) {
-                broken++;
-                record.say("once-only request run more than once: " + run.getKey() + " at " + run.getValue());
-            }
+            Engine.daemon(
+                    () -> {
+                        Client client = new Client(record, manager);
+                        boolean load = number % 4 < 2;
+                        while (Engine.now() < end) {
+                            Client.Result result =
+                                    load
+                                            ? client.request(
+                                                    Client.newId(), "log-load", String.format("%016x", number), 25_000,
+                                                    "INSERT INTO logs_1.serving VALUES ('a') /* ms="
+                                                            + (1_000 + random.nextInt(2_000)) + " rows=1 */", "")
+                                            : client.request(
+                                                    Client.newId(), "lookup", null, 5_000,
+                                                    "SELECT a FROM fonts_" + random.nextInt(9) + ".licence /* ms="
+                                                            + (60 + random.nextInt(200)) + " rows=3 */", "");
+                            ends.get(result.end()).incrementAndGet();
+                            if (result.end() == Client.End.FAILED && load && late.contains(result.id())) {
+                                lateAndFailed.incrementAndGet();
+                            }
+                            Engine.pause(Math.max(50 + random.nextInt(200), result.waitMs()));
+                        }
+                    });
         }
-        record.say("answers " + ends + ", once-only requests that ran: " + runs.size() + ", more than once: " + broken);
-        return broken == 0;
+        Engine.pause(start + DRAIN_AT_MS - Engine.now());
+        Engine draining = engines.get(0);
+        drainedAt = Engine.now();
+        coordinator.tell(new Coordinator.Event(1, "127.0.0.11", draining.port(), 1, 0, 0));
+        record.line("the coordinator has: " + draining.name + " drains");
+        Engine.pause(drainedAt + DRAIN_MS - Engine.now());
+        coordinator.tell(new Coordinator.Event(1, "127.0.0.11", draining.port(), 2, 0, 0));
+        record.line("the coordinator has: " + draining.name + " is gone; its process ends");
+        draining.die();
+        Engine.pause(end + 3_000 - Engine.now());
+        record.say("answers " + ends);
+        record.say("sent to the draining engine within " + ALLOWED_MS + " ms of the event: " + inTime + "; later: " + late.size()
+                + (late.isEmpty() ? "" : ", up to " + latest + " ms after it"));
+        record.say("once-only requests sent there too late that failed when its process ended: " + lateAndFailed);
+        return late.isEmpty();
     }
 }
--- a/review/7/Case7.java
+++ b/review/7/Case7.java
@@ -1,49 +1,95 @@
 import java.io.IOException;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Discovery is slow: it needs 3 s until it tells anything on a new connection. An engine drains and
- * ends. The rule holds if nothing new goes to it later than the 7 s after which the event counts as
- * told, plus the grace.
+ * Some connections to engines are reset under a call that has not been read. Managers may cancel, and
+ * no request may have two attempts out at the same time. Look-ups that stand still behind a load of
+ * another manager are cancelled and sent to another engine.
  */
 final class Case7 {
-    static final long SLOW_MS = 3_000;
-    static final long DRAIN_AT_MS = 6_000;
-    /** The draining engine goes on serving for so long, and ends then. */
-    static final long DRAIN_MS = 14_000;
-    static final long RUN_MS = 24_000;
-    /** Counts as told, grace for drains, slack of all time limits on sockets. */
-    static final long ALLOWED_MS = 7_000 + 500 + 50;
+    static final long RUN_MS = Long.getLong("seconds", 30) * 1_000;
+    /** One call in so many has its connection reset. */
+    static final int ONE_IN = Integer.getInteger("oneIn", 15);
+    /** Overlaps up to this length are not counted. */
+    static final long SLACK_MS = 50;
+    static final java.util.regex.Pattern GROUP = java.util.regex.Pattern.compile("register_(\\d+)");
 
-    static volatile long drainedAt = Long.MAX_VALUE;
-    static final AtomicInteger inTime = new AtomicInteger();
-    static final Set<String> late = ConcurrentHashMap.newKeySet();
-    static volatile long latest;
+    /** An attempt at an engine, from the moment it has come whole until its end or until it is given up. */
+    record Out(String engine, long from, long to, String how) {}
 
-    static final class CountingEngine extends Engine {
-        CountingEngine(int number, Record record) throws IOException {
+    static final Map<String, List<Out>> attempts = new ConcurrentHashMap<>();
+    static final AtomicInteger resets = new AtomicInteger();
+    static final AtomicInteger deletesReset = new AtomicInteger();
+
+    static final class ResettingEngine extends Engine {
+        private final boolean trouble;
+        private final Random random;
+        private final Map<String, Long> blockedUntil = new HashMap<>();
+        private final Map<Long, Long> loadUntil = new HashMap<>();
+        private long blocked;
+
+        ResettingEngine(int number, Record record, boolean trouble) throws IOException {
             super(number, "127.0.0." + (10 + number), record);
+            this.trouble = trouble;
+            random = new Random(number);
+        }
+
+        @Override
+        boolean resets(Socket socket, Http call) {
+            boolean reset;
+            synchronized (random) {
+                reset = trouble && random.nextInt(ONE_IN) == 0;
+            }
+            if (reset) {
+                resets.incrementAndGet();
+                deletesReset.addAndGet(call.first.startsWith("DELETE") ? 1 : 0);
+                record.line("reset " + name + " under " + call.first);
+            }
+            return reset;
+        }
+
+        /** A load holds its data set until it ends; a look-up of that data set stands still meanwhile. */
+        @Override
+        long duration(String group, String statement, long ms) {
+            long dataSet = number(GROUP, statement, 0);
+            long until = loadUntil.getOrDefault(dataSet, 0L);
+            if (group.equals("load")) {
+                loadUntil.put(dataSet, Math.max(until, now() + ms));
+            } else if (until > now()) {
+                blocked = until;
+                return until - now() + ms;
+            }
+            return ms;
         }
 
         @Override
         void onRun(Query query) {
-            long after = now() - drainedAt;
-            if (idNumber == 1 && after > 0) {
-                if (after <= ALLOWED_MS) {
-                    inTime.incrementAndGet();
-                } else {
-                    late.add(query.id);
-                    latest = after;
-                }
+            if (blocked > 0) {
+                blockedUntil.put(query.id, blocked);
+                blocked = 0;
+                query.nextNote = now() + 100;
             }
         }
+
+        @Override
+        String note(Query query) {
+            return now() < blockedUntil.getOrDefault(query.id, 0L)
+                    ? "X-Remark: queued\r\nFigure: 2\r\n"
+                    : super.note(query);
+        }
+
+        @Override
+        void onOver(Query query) {
+            attempts.computeIfAbsent(query.id, id -> new ArrayList<>())
+                    .add(new Out(name, query.startedAt, now(), query.over));
+        }
     }
 
     public static void main(String[] args) {
@@ -53,72 +99,71 @@
     static boolean run(Trial trial) throws Exception {
         Record record = trial.record;
         List<Engine> engines = new ArrayList<>();
-        for (int i = 1; i <= 3; i++) {
-            engines.add(new CountingEngine(i, record));
+        for (int i = 1; i <= 4; i++) {
+            engines.add(new ResettingEngine(i, record, trial.trouble));
         }
         engines.forEach(Engine::start);
         Coordinator coordinator = new Coordinator("127.0.0.1", 1);
-        coordinator.slowMs = trial.trouble ? SLOW_MS : 0;
         String classes =
-                Trial.group("lookup", "retryable", 1, 5, 5, false) + ","
-                        + Trial.group("log-load", "fragile", 4, 25, 5, true);
+                Trial.group("lookup", "retryable", 1, 5, 5, false) + "," + Trial.group("load", "dedup", 3, 25, 15, true);
         List<Manager> managers = new ArrayList<>();
-        for (int rank = 0; rank < 2; rank++) {
+        for (int rank = 0; rank < 3; rank++) {
             String settings =
                     Trial.settings(
-                            2, rank, classes, "\"dop\":[1,2],\"class_load\":[false,false],\"yields_to_loads\":[false,false]",
-                            "\"max_attempts\":6,\"second_copies\":true,\"may_cancel\":false,\"probing\":true",
-                            0, "\"via\":\"on_probe\",\"fields\":[\"waiting\"]");
+                            3, rank, classes, "\"dop\":[1,2],\"class_load\":[false,true],\"yields_to_loads\":[true,false]",
+                            "\"max_attempts\":5,\"second_copies\":false,\"may_cancel\":true,\"probing\":false",
+                            0.5, "\"via\":\"inline\",\"fields\":[\"waiting\",\"active\"]");
             managers.add(new Manager("n" + rank, trial.folder, trial.root, coordinator.address(), engines, settings));
         }
-        long start = Engine.now();
-        long end = start + RUN_MS;
+        long end = Engine.now() + RUN_MS;
         Map<Client.End, AtomicInteger> ends = new HashMap<>();
         for (Client.End e : Client.End.values()) {
             ends.put(e, new AtomicInteger());
         }
-        AtomicInteger lateAndFailed = new AtomicInteger();
         for (int i = 0; i < 24; i++) {
             int number = i;
             Random random = new Random(100 + i);
-            Manager manager = managers.get(i % 2);
+            Manager manager = managers.get(i % 3);
             Engine.daemon(
                     () -> {
                         Client client = new Client(record, manager);
-                        boolean load = number % 4 < 2;
+                        boolean load = number % 4 == 0;
                         while (Engine.now() < end) {
                             Client.Result result =
                                     load
                                             ? client.request(
-                                                    Client.newId(), "log-load", String.format("%016x", number), 25_000,
-                                                    "INSERT INTO logs_1.serving VALUES ('a') /* ms="
-                                                            + (1_000 + random.nextInt(2_000)) + " rows=1 */", "")
+                                                    Client.newId(), "load", String.format("%016x", number), 25_000,
+                                                    "INSERT INTO register_" + random.nextInt(4) + ".plates VALUES ('a') /* ms="
+                                                            + (1_600 + random.nextInt(1_700)) + " rows=1 */", "")
                                             : client.request(
                                                     Client.newId(), "lookup", null, 5_000,
-                                                    "SELECT a FROM fonts_" + random.nextInt(9) + ".licence /* ms="
-                                                            + (60 + random.nextInt(200)) + " rows=3 */", "");
+                                                    "SELECT a FROM register_" + random.nextInt(4) + ".plates /* ms="
+                                                            + (120 + random.nextInt(130)) + " rows=3 */", "");
                             ends.get(result.end()).incrementAndGet();
-                            if (result.end() == Client.End.FAILED && load && late.contains(result.id())) {
-                                lateAndFailed.incrementAndGet();
-                            }
                             Engine.pause(Math.max(50 + random.nextInt(200), result.waitMs()));
                         }
                     });
         }
-        Engine.pause(start + DRAIN_AT_MS - Engine.now());
-        Engine draining = engines.get(0);
-        drainedAt = Engine.now();
-        coordinator.tell(new Coordinator.Event(1, "127.0.0.11", draining.port(), 1, 0, 0));
-        record.line("the coordinator has: " + draining.name + " drains");
-        Engine.pause(drainedAt + DRAIN_MS - Engine.now());
-        coordinator.tell(new Coordinator.Event(1, "127.0.0.11", draining.port(), 2, 0, 0));
-        record.line("the coordinator has: " + draining.name + " is gone; its process ends");
-        draining.die();
-        Engine.pause(end + 3_000 - Engine.now());
-        record.say("answers " + ends);
-        record.say("sent to the draining engine within " + ALLOWED_MS + " ms of the event: " + inTime + "; later: " + late.size()
-                + (late.isEmpty() ? "" : ", up to " + latest + " ms after it"));
-        record.say("once-only requests sent there too late that failed when its process ended: " + lateAndFailed);
-        return late.isEmpty();
+        Engine.pause(end + 6_000 - Engine.now());
+        int broken = 0;
+        int several = 0;
+        for (Map.Entry<String, List<Out>> attempt : attempts.entrySet()) {
+            List<Out> outs = new ArrayList<>(attempt.getValue());
+            outs.sort((a, b) -> Long.compare(a.from, b.from));
+            several += outs.size() > 1 ? 1 : 0;
+            for (int i = 1; i < outs.size(); i++) {
+                Out before = outs.get(i - 1);
+                Out after = outs.get(i);
+                long overlap = Math.min(before.to, after.to) - after.from;
+                if (overlap > SLACK_MS) {
+                    broken++;
+                    record.say("two attempts out for " + overlap + " ms: " + attempt.getKey() + " at " + before.engine + " ("
+                            + before.how + ") and " + after.engine + " (" + after.how + ")");
+                }
+            }
+        }
+        record.say("answers " + ends + ", requests with several attempts: " + several + ", connections reset: " + resets
+                + ", of these under a DELETE: " + deletesReset + ", two attempts out at once: " + broken);
+        return broken == 0;
     }
 }
