The next attempt waits until the earlier one is known not to run

Cause: 20 ms after a DELETE without an answer the attempt of a request without a key was over; its end was reported as unproven, but only ordering keys heeded that, and the next attempt started. With a key the DELETE was made again, but the own next attempt did not wait either. A refused connection counted as an end in the same way.

Change: the attempt lingers and repeats its DELETE until it is answered, and reports the proof; RetryPolicy holds the next attempt until then, or until the engine no longer holds the statement. Only where two attempts at a time are forbidden. A connection that the engine ended is told from one without an answer, so that a reset statement costs 0.25 s and not 4.5 s.

--- a/src/main/java/firstage/lifecycle/AttemptStateMachine.java
+++ b/src/main/java/firstage/lifecycle/AttemptStateMachine.java
@@ -26,8 +26,9 @@
  * <tr><td>ABANDONING</td><td>abandoned after a reply; a DELETE was sent</td></tr>
  * <tr><td>ABANDONING_UNACKNOWLEDGED</td><td>like ABANDONING, but without a reply to the
  *     statement</td></tr>
- * <tr><td>LINGERING</td><td>abandoned, and the end was not proven within the abandon timeout; only
- *     the next request of the ordering key still waits for the end</td></tr>
+ * <tr><td>LINGERING</td><td>abandoned, and the end was not proven within the abandon timeout; the
+ *     next request of the ordering key or the next attempt of the request waits for the
+ *     end</td></tr>
  * <tr><td>LINGERING_UNACKNOWLEDGED</td><td>like LINGERING, but without a reply to the
  *     statement</td></tr>
  * <tr><td>ENDED</td><td>final</td></tr>
@@ -41,7 +42,9 @@
  * whose engine neither answered a DELETE nor reported a failure, also until the client's deadline,
  * which the engine knows. For a request with an ordering key, the DELETE is repeated, and the next
  * request of the key waits until the end is proven or that time is over, while the request's own
- * client is answered at once.
+ * client is answered at once. Where attempts of a request must not overlap, the DELETE is repeated
+ * for a request without a key, too, while its client waits: {@link AttemptActions#confirmEnd} then
+ * reports the proof, or the end of that time, to the next attempt.
  *
  * <p>Times are ticks. Every method call is an event; actions go out through {@link AttemptActions}.
  * All calls come on one thread. {@link AttemptTransitions} holds the table of transitions.
@@ -59,7 +62,10 @@
     /** Time for the engine to answer a DELETE; the answer to the client may wait for it. */
     private static final long ABANDON_TIMEOUT = Ticks.ofMillis(20);
 
-    /** Delay before a failed call is repeated, so that a lost connection causes no busy loop. */
+    /**
+     * Delay before a failed call is repeated, so that a lost connection causes no busy loop. It
+     * doubles with each DELETE that fails, up to {@link #REPEATED_DELETE_INTERVAL}.
+     */
     private static final long RETRY_DELAY = Ticks.ofMillis(50);
 
     /**
@@ -80,6 +86,15 @@
      */
     private static final long REPEATED_DELETE_INTERVAL = Ticks.ofMillis(500);
 
+    /**
+     * Time after the end of a statement's connection after which an engine that responds has read
+     * what it had received on that connection.
+     */
+    private static final long LATE_READ_ALLOWANCE = Ticks.ofMillis(250);
+
+    /** Number of times that the delay of a DELETE doubles before it reaches its maximum. */
+    private static final int MAX_DELAY_DOUBLINGS = 4;
+
     /**
      * Minimum duration of a held poll. An engine that answers a poll with progress sooner does not
      * hold its polls.
@@ -143,6 +158,12 @@
          */
         void reportEnd(AttemptOutcome outcome, long heldFor);
 
+        /**
+         * Reports that an attempt whose end was reported without proof no longer runs. Called at
+         * most once, after {@link #reportEnd} and before {@link #release}.
+         */
+        void confirmEnd();
+
         /**
          * Releases the attempt: no more calls are made for it. Called once, after {@link
          * #reportEnd}.
@@ -172,7 +193,9 @@
         RESET_BEFORE_SEND,
         /** The manager itself did not write the call, or did not complete it. */
         NOT_SENT,
-        /** The connection broke, or no reply came; the engine may have read the call. */
+        /** The engine ended the connection; it may have read the call, but reads no more of it. */
+        CONNECTION_ENDED,
+        /** No reply came; the engine may have read the call, or may read it later. */
         REPLY_LOST,
         /** The reply can't be parsed or used. */
         REPLY_UNREADABLE
@@ -194,6 +217,7 @@
 
     private final AttemptActions actions;
     private final boolean keyed;
+    private final boolean mayOverlap;
     private State state = State.NEW;
 
     /** Outcome of the attempt; null until it is settled. */
@@ -206,26 +230,37 @@
     /** Whether the engine itself reported that the statement failed. */
     private boolean failureReported;
 
+    /** Whether the engine ended the connection on which the statement was written. */
+    private boolean statementConnectionEnded;
+
     /**
      * Whether the engine answered a DELETE. The DELETE is then repeated in case the statement
      * arrives later.
      */
     private boolean deleteAcknowledged;
 
+    /** Time of the first answer to a DELETE. */
+    private long deleteAcknowledgedAt;
+
+    private long deleteSentAt;
+
     private boolean endReported;
 
     private int currentPage;
     private int consecutiveFailures;
+    private int failedDeletes;
     private int unreadableReplies;
     private long lastCallAt;
 
     /**
      * @param keyed whether the request has an ordering key. Other requests may then wait for the
      *     end of the attempt, which is proven even if that costs a call.
+     * @param mayOverlap whether another attempt of the request may start before this one has ended
      */
-    public AttemptStateMachine(AttemptActions actions, boolean keyed) {
+    public AttemptStateMachine(AttemptActions actions, boolean keyed, boolean mayOverlap) {
         this.actions = actions;
         this.keyed = keyed;
+        this.mayOverlap = mayOverlap;
     }
 
     /**
@@ -301,6 +336,7 @@
 
     /** Handles a statement that could not be sent, or whose reply was lost. */
     public void onStatementFailed(long now, CallFailure failure) {
+        statementConnectionEnded |= failure == CallFailure.CONNECTION_ENDED;
         switch (failure) {
             case RESET_BEFORE_SEND ->
                     handle(
@@ -323,12 +359,21 @@
         handle(
                 now,
                 engineGone
-                        ? Event.ENGINE_GONE
+                        ? engineGoneEvent()
                         : unreadableReplies >= MAX_UNREADABLE_REPLIES
                                 ? Event.TOO_MANY_FAILURES
                                 : Event.REPLY_LOST);
     }
 
+    /**
+     * A process that died refuses connections, but so may one that drains and still runs the
+     * statement. The next attempt of the request waits for the difference to show; the next request
+     * of a key waits for the time that the end is reported with.
+     */
+    private Event engineGoneEvent() {
+        return !keyed && isEndNeeded() ? Event.ENGINE_GONE_END_NEEDED : Event.ENGINE_GONE;
+    }
+
     /**
      * Abandons the attempt, which ends with this outcome once the engine has answered the DELETE or
      * has failed to do so in time; until then the attempt is in flight. Does nothing if the outcome
@@ -343,14 +388,27 @@
 
     /** Handles the engine's answer to the DELETE. */
     public void onDeleteAcknowledged(long now) {
-        deleteAcknowledged = true;
-        // A statement that the engine had not read by the expiry does not arrive any more, and one
-        // that arrived before this DELETE is ended by it.
-        boolean expired =
-                state == State.LINGERING_UNACKNOWLEDGED && now >= lastCallAt + UNPOLLED_EXPIRY;
+        // A statement that the engine had not read by now does not arrive any more, and one that
+        // arrived before this DELETE is ended by it.
+        boolean arrivesNoMore = now >= lastCallAt + UNPOLLED_EXPIRY || hasReadStatementConnection();
+        if (!deleteAcknowledged) {
+            deleteAcknowledged = true;
+            deleteAcknowledgedAt = now;
+        }
+        boolean expired = state == State.LINGERING_UNACKNOWLEDGED && arrivesNoMore;
         handle(now, expired ? Event.EXPIRED : Event.DELETE_ACKNOWLEDGED);
     }
 
+    /**
+     * Returns whether the engine had read all that it received on the statement's connection when
+     * it read the latest DELETE: the connection had ended, and the engine had responded since.
+     */
+    private boolean hasReadStatementConnection() {
+        return statementConnectionEnded
+                && deleteAcknowledged
+                && deleteSentAt >= deleteAcknowledgedAt + LATE_READ_ALLOWANCE;
+    }
+
     /** Handles a DELETE that could not be sent, or whose answer was lost. */
     public void onDeleteFailed(long now, CallFailure failure) {
         deleteOnNewConnection = failure != CallFailure.CONNECTION_REFUSED;
@@ -369,12 +427,12 @@
             case ABANDON ->
                     handle(
                             now,
-                            keyed && isStatementWritten()
-                                    ? Event.ABANDON_TIMEOUT_KEYED
+                            isStatementWritten() && isEndNeeded()
+                                    ? Event.ABANDON_TIMEOUT_END_NEEDED
                                     : Event.ABANDON_TIMEOUT);
             case RETRY_DELETE -> {
                 if (isAbandoning()) {
-                    actions.sendDelete(deleteOnNewConnection);
+                    sendDelete(now, deleteOnNewConnection);
                 }
             }
             case EXPIRY -> handle(now, Event.EXPIRED);
@@ -403,16 +461,24 @@
                 actions.fetchPage(currentPage, false);
             }
             case END_AFTER_CURRENT_EVENT -> actions.startTimer(0, Timeout.ABANDON);
-            case DELETE -> deleteWithTimeout();
+            case DELETE -> deleteWithTimeout(now);
             case CONFIRM_END -> confirmEnd(now);
             case DELETE_ON_QUIET_CONNECTION -> {
                 deleteOnNewConnection = false;
                 actions.startTimer(QUIET_CONNECTION_DELAY, Timeout.RETRY_DELETE);
             }
-            case RETRY_DELETE -> actions.startTimer(RETRY_DELAY, Timeout.RETRY_DELETE);
+            case RETRY_DELETE -> actions.startTimer(nextDeleteDelay(), Timeout.RETRY_DELETE);
             case REPEAT_DELETE ->
-                    actions.startTimer(REPEATED_DELETE_INTERVAL, Timeout.RETRY_DELETE);
+                    actions.startTimer(
+                            statementConnectionEnded
+                                    ? LATE_READ_ALLOWANCE
+                                    : REPEATED_DELETE_INTERVAL,
+                            Timeout.RETRY_DELETE);
             case LINGER -> linger(now);
+            case LINGER_AND_DELETE -> {
+                linger(now);
+                actions.startTimer(nextDeleteDelay(), Timeout.RETRY_DELETE);
+            }
             case END_PROVEN -> end(now, false);
             case END_UNPROVEN -> end(now, true);
         }
@@ -425,16 +491,26 @@
     private void confirmEnd(long now) {
         if (keyed) {
             failureReported = true;
-            deleteWithTimeout();
+            deleteWithTimeout(now);
         } else {
             end(now, false);
         }
     }
 
-    private void deleteWithTimeout() {
+    private void deleteWithTimeout(long now) {
         retryScheduled = false;
         actions.startTimer(ABANDON_TIMEOUT, Timeout.ABANDON);
-        actions.sendDelete(false);
+        sendDelete(now, false);
+    }
+
+    private void sendDelete(long now, boolean onNewConnection) {
+        deleteSentAt = now;
+        actions.sendDelete(onNewConnection);
+    }
+
+    private long nextDeleteDelay() {
+        long delay = RETRY_DELAY << Math.min(failedDeletes++, MAX_DELAY_DOUBLINGS);
+        return Math.min(delay, REPEATED_DELETE_INTERVAL);
     }
 
     /** Polls again, after a delay if the engine does not hold its polls. */
@@ -470,6 +546,11 @@
         }
     }
 
+    /** Returns whether something may be sent only once this attempt has ended. */
+    private boolean isEndNeeded() {
+        return keyed || !mayOverlap && actions.isEndAwaited();
+    }
+
     private boolean isAbandoning() {
         return state == State.ABANDONING
                 || state == State.ABANDONING_UNACKNOWLEDGED
@@ -483,7 +564,7 @@
      */
     private void linger(long now) {
         long engineDeadline =
-                failureReported || deleteAcknowledged
+                failureReported || deleteAcknowledged || outcome == AttemptOutcome.CONNECTION_LOST
                         ? 0
                         : actions.deadline() + STATEMENT_TRANSIT_ALLOWANCE;
         long heldFor = Math.max(0, Math.max(lastCallAt + UNPOLLED_EXPIRY, engineDeadline) - now);
@@ -496,7 +577,9 @@
 
     private void end(long now, boolean mayStillHold) {
         state = State.ENDED;
-        if (!endReported) {
+        if (endReported) {
+            actions.confirmEnd();
+        } else {
             endReported = true;
             actions.reportEnd(
                     outcome, mayStillHold ? Math.max(0, lastCallAt + UNPOLLED_EXPIRY - now) : 0);
--- a/src/main/java/firstage/lifecycle/AttemptTransitions.java
+++ b/src/main/java/firstage/lifecycle/AttemptTransitions.java
@@ -37,12 +37,13 @@
         FAILED,
         REPLY_LOST,
         ENGINE_GONE,
+        ENGINE_GONE_END_NEEDED,
         TOO_MANY_FAILURES,
         ABANDON,
         DELETE_ACKNOWLEDGED,
         DELETE_FAILED,
         ABANDON_TIMEOUT,
-        ABANDON_TIMEOUT_KEYED,
+        ABANDON_TIMEOUT_END_NEEDED,
         EXPIRED
     }
 
@@ -60,6 +61,7 @@
         RETRY_DELETE,
         REPEAT_DELETE,
         LINGER,
+        LINGER_AND_DELETE,
         END_PROVEN,
         END_UNPROVEN
     }
@@ -147,6 +149,12 @@
                 State.ENDED,
                 Action.END_UNPROVEN,
                 AttemptOutcome.CONNECTION_LOST);
+        on(
+                State.UNACKNOWLEDGED,
+                Event.ENGINE_GONE_END_NEEDED,
+                State.LINGERING_UNACKNOWLEDGED,
+                Action.LINGER_AND_DELETE,
+                AttemptOutcome.CONNECTION_LOST);
         on(
                 State.UNACKNOWLEDGED,
                 Event.TOO_MANY_FAILURES,
@@ -178,6 +186,12 @@
                 State.ENDED,
                 Action.END_UNPROVEN,
                 AttemptOutcome.CONNECTION_LOST);
+        on(
+                State.RUNNING,
+                Event.ENGINE_GONE_END_NEEDED,
+                State.LINGERING,
+                Action.LINGER_AND_DELETE,
+                AttemptOutcome.CONNECTION_LOST);
         on(
                 State.RUNNING,
                 Event.TOO_MANY_FAILURES,
@@ -225,7 +239,7 @@
         on(State.ABANDONING, Event.PROGRESS, State.ABANDONING, Action.DELETE_ON_QUIET_CONNECTION);
         on(State.ABANDONING, Event.DELETE_FAILED, State.ABANDONING, Action.RETRY_DELETE);
         on(State.ABANDONING, Event.ABANDON_TIMEOUT, State.ENDED, Action.END_UNPROVEN);
-        on(State.ABANDONING, Event.ABANDON_TIMEOUT_KEYED, State.LINGERING, Action.LINGER);
+        on(State.ABANDONING, Event.ABANDON_TIMEOUT_END_NEEDED, State.LINGERING, Action.LINGER);
         // The attempt was abandoned without a reply to the statement, which the DELETE may have
         // overtaken: only a reply to the statement itself proves the end.
         on(
@@ -254,11 +268,12 @@
                 Action.END_UNPROVEN);
         on(
                 State.ABANDONING_UNACKNOWLEDGED,
-                Event.ABANDON_TIMEOUT_KEYED,
+                Event.ABANDON_TIMEOUT_END_NEEDED,
                 State.LINGERING_UNACKNOWLEDGED,
                 Action.LINGER);
         // The attempt was abandoned, the abandon timeout is over, and other requests of the
-        // ordering key wait. An engine that received no DELETE may still run the statement, and
+        // ordering key wait, or the next attempt of the same request does. An engine that received
+        // no DELETE may still run the statement, and
         // keeps the unread result until the client's deadline.
         on(State.LINGERING, Event.DELETE_ACKNOWLEDGED, State.ENDED, Action.END_PROVEN);
         on(State.LINGERING, Event.REFUSED, State.ENDED, Action.END_PROVEN);
--- a/src/main/java/firstage/policy/RetryPolicy.java
+++ b/src/main/java/firstage/policy/RetryPolicy.java
@@ -85,6 +85,14 @@
                 && (request.attemptsStarted == 0 || isWithinBudget(now));
     }
 
+    /**
+     * Returns whether the next attempt has to wait, as an earlier one was reported as ended without
+     * proof and may still run at its engine. Hedged requests may overlap anyway.
+     */
+    boolean mustAwaitEarlierAttempt(long now, RequestState request) {
+        return !capabilities.hedging() && now < request.unconfirmedUntil;
+    }
+
     /** Returns whether it is safe for the client to send the request again to any manager. */
     boolean mayReject(RequestState request) {
         return rule(request).mayReject;
--- a/src/main/java/firstage/policy/WorkloadScheduler.java
+++ b/src/main/java/firstage/policy/WorkloadScheduler.java
@@ -177,6 +177,7 @@
         // A failure may be reported for a cancelled attempt that still runs.
         boolean mayStillRun = outcome.mayHaveRun && outcome != AttemptOutcome.SUCCEEDED;
         keys.onAttemptEnded(now, request, mayStillRun, result.mayStillRunFor());
+        request.recordUnconfirmedEnd(now, attempt.number, result.mayStillRunFor());
         if (result.requestClosed() || request.closed) {
             close(request);
         } else if (request.attemptsInFlight.isEmpty()) {
@@ -188,6 +189,13 @@
         }
     }
 
+    @Override
+    public void onAttemptEndConfirmed(long now, int requestId, int attemptNumber) {
+        Optional.ofNullable(requests.get(requestId))
+                .ifPresent(request -> request.confirmEnd(attemptNumber));
+        queuePassDue = true;
+    }
+
     private void learnFromSuccess(long now, Attempt attempt, AttemptResult result) {
         EngineState engine = attempt.engine;
         TrafficClassStats stats = attempt.request.classStats;
@@ -490,6 +498,7 @@
     private boolean mayStart(long now, RequestState request) {
         return !request.clientAbsent
                 && now < queue.lastStartAt(request)
+                && !retries.mustAwaitEarlierAttempt(now, request)
                 && keys.isNext(now, request);
     }
 
--- a/src/main/java/firstage/policy/api/SchedulingPolicy.java
+++ b/src/main/java/firstage/policy/api/SchedulingPolicy.java
@@ -13,6 +13,12 @@
     /** Handles the end of an attempt. Does nothing if the attempt is not in flight. */
     void onAttemptResult(long now, AttemptResult result);
 
+    /**
+     * Handles the proof that an attempt no longer runs, whose result was reported with a time for
+     * which it may still run. Does nothing if the request is closed.
+     */
+    default void onAttemptEndConfirmed(long now, int requestId, int attemptNumber) {}
+
     /** Handles a progress report on an attempt. Does nothing if the attempt is not in flight. */
     void onAttemptProgress(long now, AttemptProgress progress);
 
--- a/src/main/java/firstage/policy/state/RequestState.java
+++ b/src/main/java/firstage/policy/state/RequestState.java
@@ -40,6 +40,12 @@
     /** Engine of the attempt that was sent at {@link #firstExecutionAt}; null if there is none. */
     public EngineState firstExecutionEngine;
 
+    /** Number of the latest attempt that ended without proof; -1 if there is none. */
+    public int unconfirmedAttempt = -1;
+
+    /** Time until which the {@link #unconfirmedAttempt} may still run, in ticks. */
+    public long unconfirmedUntil;
+
     /** Engine of the latest attempt; null before the first attempt. */
     public EngineState lastEngine;
 
@@ -110,6 +116,22 @@
         mayHaveRun = true;
     }
 
+    /** Records that an attempt has ended, but may still run for {@code mayStillRunFor} ticks. */
+    public void recordUnconfirmedEnd(long now, int attemptNumber, long mayStillRunFor) {
+        if (mayStillRunFor > 0) {
+            unconfirmedAttempt = attemptNumber;
+            unconfirmedUntil = Math.max(unconfirmedUntil, now + mayStillRunFor);
+        }
+    }
+
+    /** Records the proof that an attempt no longer runs. */
+    public void confirmEnd(int attemptNumber) {
+        if (unconfirmedAttempt == attemptNumber) {
+            unconfirmedAttempt = -1;
+            unconfirmedUntil = 0;
+        }
+    }
+
     /**
      * Returns the time at which the earliest attempt that may have run or is in flight was sent, in
      * ticks; {@code now} if there is none.
--- a/src/main/java/firstage/server/FlightRecorder.java
+++ b/src/main/java/firstage/server/FlightRecorder.java
@@ -35,6 +35,8 @@
          * may hold the statement, in ms.
          */
         ATTEMPT_ENDED,
+        /** An attempt that had ended without proof no longer runs. Values: its number; engine. */
+        END_CONFIRMED,
         /** The client has its answer, or left; the reason names the outcome. Values: 0; 0. */
         REQUEST_ENDED,
         /** The client was sent a path to poll. */
--- a/src/main/java/firstage/server/ManagerServer.java
+++ b/src/main/java/firstage/server/ManagerServer.java
@@ -242,6 +242,12 @@
         requestEvents.onAttemptEnded(exchange, attempt, outcome, duration, report, pages, heldFor);
     }
 
+    @Override
+    public void onAttemptEndConfirmed(
+            RequestExchange exchange, RequestExchange.AttemptHandle attempt) {
+        requestEvents.onAttemptEndConfirmed(exchange, attempt);
+    }
+
     @Override
     public void onProbeResult(int engine, AttemptOutcome outcome, LoadReport report) {
         loop.dispatch(
--- a/src/main/java/firstage/server/RequestEventHandler.java
+++ b/src/main/java/firstage/server/RequestEventHandler.java
@@ -199,4 +199,17 @@
             exchange.abandonAttempts(AttemptOutcome.CANCELLED);
         }
     }
+
+    /** Passes the proof that an attempt no longer runs on; its request may start the next one. */
+    void onAttemptEndConfirmed(RequestExchange exchange, RequestExchange.AttemptHandle attempt) {
+        requests.onAttemptEndConfirmed(exchange, attempt);
+        // The index of a settled request may belong to another one by now.
+        if (!exchange.isSettled()) {
+            loop.dispatch(
+                    "end confirmed",
+                    scheduler ->
+                            scheduler.onAttemptEndConfirmed(
+                                    clock.now(), exchange.requestIndex, attempt.number()));
+        }
+    }
 }
--- a/src/main/java/firstage/server/RequestRegistry.java
+++ b/src/main/java/firstage/server/RequestRegistry.java
@@ -105,12 +105,21 @@
         counters.checkInvariant(exchange.attemptsInFlight.remove(attempt), "an attempt ends once");
         attemptsInFlight--;
         counters.count("attempts ended " + outcome);
+        if (heldFor > 0) {
+            counters.count("attempts ended without proof");
+        }
         record(EventType.ATTEMPT_ENDED, exchange, outcome.ordinal(), heldFor / 10);
         if (exchange.orderingKey != null) {
             keyOrder.onAttemptEnded(clock.now(), exchange.orderingKey, exchange.id, heldFor);
         }
     }
 
+    /** Records that an attempt that had ended without proof no longer runs. */
+    void onAttemptEndConfirmed(RequestExchange exchange, RequestExchange.AttemptHandle attempt) {
+        counters.count("attempt ends confirmed later");
+        record(EventType.END_CONFIRMED, exchange, attempt.number(), attempt.engine());
+    }
+
     /** Records that the client has its answer, or gets none. Called once for each request. */
     void onRequestEnded(RequestOutcome outcome, RequestExchange exchange) {
         counters.count(outcome.counter);
--- a/src/main/java/firstage/server/ServerEvents.java
+++ b/src/main/java/firstage/server/ServerEvents.java
@@ -61,6 +61,12 @@
             List<byte[]> pages,
             long heldFor);
 
+    /**
+     * Handles the proof that an attempt no longer runs, whose end was reported while its engine
+     * might still hold the statement.
+     */
+    void onAttemptEndConfirmed(RequestExchange exchange, RequestExchange.AttemptHandle attempt);
+
     /**
      * Handles the end of a probe.
      *
--- a/src/main/java/firstage/server/engine/AttemptRunner.java
+++ b/src/main/java/firstage/server/engine/AttemptRunner.java
@@ -69,7 +69,9 @@
         this.engine = engine;
         this.startedAt = context.clock().now();
         this.priority = exchange.priority;
-        stateMachine = new AttemptStateMachine(this, exchange.orderingKey != null);
+        stateMachine =
+                new AttemptStateMachine(
+                        this, exchange.orderingKey != null, context.attemptsMayOverlap());
         // Deferred: the outcome must be a later event than the decision that starts the attempt.
         context.io().execute(stateMachine::start);
     }
@@ -103,6 +105,7 @@
             case CONNECT_TIMEOUT -> CallFailure.CONNECT_TIMEOUT;
             case RESET_BEFORE_SEND -> CallFailure.RESET_BEFORE_SEND;
             case NO_FREE_CONNECTION, SEND_REFUSED -> CallFailure.NOT_SENT;
+            case ENDED_BY_ENGINE -> CallFailure.CONNECTION_ENDED;
             case CONNECTION_BROKEN, RESPONSE_TIMEOUT -> CallFailure.REPLY_LOST;
             case MALFORMED_RESPONSE -> CallFailure.REPLY_UNREADABLE;
         };
@@ -345,6 +348,11 @@
         return exchange.deadline;
     }
 
+    @Override
+    public void confirmEnd() {
+        context.events().onAttemptEndConfirmed(exchange, this);
+    }
+
     @Override
     public void release() {
         if (countedAsRunning) {
--- a/src/main/java/firstage/server/engine/EngineCall.java
+++ b/src/main/java/firstage/server/engine/EngineCall.java
@@ -19,6 +19,7 @@
         RESET_BEFORE_SEND,
         NO_FREE_CONNECTION,
         SEND_REFUSED,
+        ENDED_BY_ENGINE,
         CONNECTION_BROKEN,
         RESPONSE_TIMEOUT,
         MALFORMED_RESPONSE
--- a/src/main/java/firstage/server/engine/EngineClients.java
+++ b/src/main/java/firstage/server/engine/EngineClients.java
@@ -57,7 +57,8 @@
                         guard,
                         ByteBuffer.allocateDirect(READ_BUFFER_BYTES),
                         Math.max(1, config.settings().getTicks(SettingsKeys.CONNECT_TIMEOUT) / 10),
-                        (keepAlive > 0 ? keepAlive : DEFAULT_KEEP_ALIVE) / 2);
+                        (keepAlive > 0 ? keepAlive : DEFAULT_KEEP_ALIVE) / 2,
+                        config.settings().getBoolean(SettingsKeys.MAY_HEDGE));
         budget = new ConnectionBudget(counters, config.maxEngineConnections());
     }
 
--- a/src/main/java/firstage/server/engine/EngineConnection.java
+++ b/src/main/java/firstage/server/engine/EngineConnection.java
@@ -20,6 +20,9 @@
 final class EngineConnection {
     private static final byte[] HTTP_VERSION_PREFIX = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
 
+    /** Part of the system's message that the other side reset the connection. */
+    private static final String RESET_MESSAGE = "reset";
+
     /**
      * Maximum number of buffers that are read in a selector pass; more than the longest response.
      * The selector reports the connection again if there is more.
@@ -174,7 +177,7 @@
                     return;
                 }
                 if (bytesRead < 0) {
-                    fail(EngineCall.Failure.CONNECTION_BROKEN);
+                    fail(EngineCall.Failure.ENDED_BY_ENGINE);
                     return;
                 }
                 pool.onBytesReceived();
@@ -189,8 +192,9 @@
         } catch (MalformedResponseException exception) {
             fail(EngineCall.Failure.MALFORMED_RESPONSE);
         } catch (IOException exception) {
-            // Reset, timeout or unreachable host: the connection is broken in each case.
-            fail(EngineCall.Failure.CONNECTION_BROKEN);
+            // Reset, timeout and unreachable host differ only in the message of the exception.
+            boolean reset = String.valueOf(exception.getMessage()).contains(RESET_MESSAGE);
+            fail(reset ? EngineCall.Failure.ENDED_BY_ENGINE : EngineCall.Failure.CONNECTION_BROKEN);
         }
     }
 
--- a/src/main/java/firstage/server/engine/EngineContext.java
+++ b/src/main/java/firstage/server/engine/EngineContext.java
@@ -13,6 +13,7 @@
  * @param readBuffer buffer shared by all connections; empty between events
  * @param connectTimeoutMs time within which a new connection has to be established
  * @param maxIdleTime time in ticks after which an idle connection is closed
+ * @param attemptsMayOverlap whether a request may have several attempts at a time
  */
 record EngineContext(
         XnioIoThread io,
@@ -22,4 +23,5 @@
         ActionGuard guard,
         ByteBuffer readBuffer,
         long connectTimeoutMs,
-        long maxIdleTime) {}
+        long maxIdleTime,
+        boolean attemptsMayOverlap) {}
--- a/src/main/java/firstage/simulation/schedule/FaultSchedule.java
+++ b/src/main/java/firstage/simulation/schedule/FaultSchedule.java
@@ -39,13 +39,14 @@
     public static List<String> run(long seed, InjectedDefect defect) {
         RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
         EventQueue events = new EventQueue(START);
-        ScheduleRuleChecker ruleChecker = new ScheduleRuleChecker();
         int engineCount = 1 + random.nextInt(3);
+        Deployment deployment = deployment(random);
+        ScheduleRuleChecker ruleChecker =
+                new ScheduleRuleChecker(deployment.capabilities().hedging());
         List<SimulatedEngine> engines = new ArrayList<>();
         for (int index = 0; index < engineCount; index++) {
             engines.add(new SimulatedEngine(events, ruleChecker, random));
         }
-        Deployment deployment = deployment(random);
         double faultProbability = FAULT_PROBABILITIES[random.nextInt(FAULT_PROBABILITIES.length)];
         boolean stallsBetweenReads = random.nextBoolean();
         Supplier<SimulatedManager> startManager =
--- a/src/main/java/firstage/simulation/schedule/InjectedDefect.java
+++ b/src/main/java/firstage/simulation/schedule/InjectedDefect.java
@@ -33,6 +33,11 @@
      * once.
      */
     ABANDONED_IS_OVER,
+    /**
+     * An attempt of a request without an ordering key counts as ended although that is not proven,
+     * so that the next attempt of the request may start beside it.
+     */
+    UNCONFIRMED_IS_OVER,
     /**
      * The quiet period of an ordering key ends when an unpolled run ends, not when the engine has
      * written or dropped its result.
--- a/src/main/java/firstage/simulation/schedule/ScheduleRuleChecker.java
+++ b/src/main/java/firstage/simulation/schedule/ScheduleRuleChecker.java
@@ -13,6 +13,7 @@
  * <ul>
  *   <li>Rule 1: each request gets one final answer, in time.
  *   <li>Rule 2: no non-idempotent request runs twice, and none is rejected that may have run.
+ *       Without hedged requests, no request has two attempts at engines at a time.
  *   <li>Rule 3: no statement is sent to a draining engine after the grace period.
  *   <li>Rule 5: no request reaches an engine while an earlier request of its ordering key is open,
  *       or while another request of the key may run.
@@ -43,6 +44,9 @@
 
         private int runCount;
 
+        /** Number of runs at engines now. */
+        private int runningCount;
+
         private ObservedRequest(
                 int id,
                 int orderingKey,
@@ -59,6 +63,7 @@
         }
     }
 
+    private final boolean attemptsMayOverlap;
     private final List<String> violations = new ArrayList<>();
     private final Map<Integer, ObservedRequest> requests = new HashMap<>();
 
@@ -77,6 +82,15 @@
      */
     private long totalStall;
 
+    /**
+     * Creates a checker.
+     *
+     * @param attemptsMayOverlap whether a request may have several attempts at a time
+     */
+    public ScheduleRuleChecker(boolean attemptsMayOverlap) {
+        this.attemptsMayOverlap = attemptsMayOverlap;
+    }
+
     /**
      * Records that the last byte of a request reached the machine; {@code orderingKey} is -1 for a
      * request without one.
@@ -186,7 +200,11 @@
         if (request.nonIdempotent && request.runCount > 0) {
             recordViolation(now, 2, request, "runs again");
         }
+        if (!attemptsMayOverlap && request.runningCount > 0) {
+            recordViolation(now, 2, request, "runs beside another attempt of its own");
+        }
         request.runCount++;
+        request.runningCount++;
         if (request.orderingKey < 0 || request.managerIncarnation != incarnation) {
             return;
         }
@@ -223,6 +241,7 @@
      */
     public void onRunEnded(int requestId) {
         ObservedRequest request = requests.get(requestId);
+        request.runningCount--;
         if (request.orderingKey >= 0 && request.managerIncarnation == incarnation) {
             runningByKey.get(request.orderingKey).remove(request);
         }
--- a/src/main/java/firstage/simulation/schedule/SimulatedManager.java
+++ b/src/main/java/firstage/simulation/schedule/SimulatedManager.java
@@ -83,6 +83,7 @@
     private final ArrivalSequencer<SimulatedRequest> arrivalSequencer =
             new ArrivalSequencer<>(this);
     private final Map<Integer, SimulatedRequest> requests = new HashMap<>();
+    private final boolean attemptsMayOverlap;
     private boolean pendingActionsDue;
     private int openRequests;
     private int openCalls;
@@ -117,6 +118,7 @@
                         stallsBetweenReads,
                         defect == InjectedDefect.ONE_ACCEPTED_PER_ROUND,
                         this::runPendingActions);
+        attemptsMayOverlap = deployment.capabilities().hedging();
         scheduler = new WorkloadScheduler(deployment, this);
     }
 
@@ -579,7 +581,8 @@
             this.attemptNumber = attemptNumber;
             this.engineIndex = engineIndex;
             engine = engines.get(engineIndex);
-            stateMachine = new AttemptStateMachine(this, request.orderingKey >= 0);
+            stateMachine =
+                    new AttemptStateMachine(this, request.orderingKey >= 0, attemptsMayOverlap);
         }
 
         private boolean drawFault() {
@@ -678,6 +681,7 @@
             }
             scheduleFailure(
                     connectionBreaks ? 2 * drawOneWayDelay() : POLL_TIMEOUT,
+                    connectionBreaks ? CallFailure.CONNECTION_ENDED : CallFailure.REPLY_LOST,
                     answered,
                     failure -> {
                         if (defect == InjectedDefect.BROKEN_NEVER_RAN) {
@@ -717,7 +721,10 @@
         }
 
         private void scheduleFailure(
-                long timeout, boolean[] answered, FailureHandler failureHandler) {
+                long timeout,
+                CallFailure failure,
+                boolean[] answered,
+                FailureHandler failureHandler) {
             events.schedule(
                     timeout,
                     () ->
@@ -725,7 +732,7 @@
                                     () -> {
                                         if (!answered[0]) {
                                             answered[0] = true;
-                                            failureHandler.onFailed(CallFailure.REPLY_LOST);
+                                            failureHandler.onFailed(failure);
                                         }
                                     }));
         }
@@ -759,7 +766,10 @@
                 events.schedule(drawOneWayDelay(), () -> send.accept(answered));
             }
             scheduleFailure(
-                    connectionBreaks ? 2 * drawOneWayDelay() : timeout, answered, failureHandler);
+                    connectionBreaks ? 2 * drawOneWayDelay() : timeout,
+                    connectionBreaks ? CallFailure.CONNECTION_ENDED : CallFailure.REPLY_LOST,
+                    answered,
+                    failureHandler);
         }
 
         @Override
@@ -886,6 +896,14 @@
                     : request.deadline;
         }
 
+        @Override
+        public void confirmEnd() {
+            if (!request.completed) {
+                pendingActionsDue = true;
+                scheduler.onAttemptEndConfirmed(events.now(), request.id, attemptNumber);
+            }
+        }
+
         @Override
         public void release() {}
 
@@ -911,6 +929,8 @@
                             request.completed,
                             null,
                             defect == InjectedDefect.ABANDONED_IS_OVER
+                                            || defect == InjectedDefect.UNCONFIRMED_IS_OVER
+                                                    && request.orderingKey < 0
                                     ? 0
                                     : defect == InjectedDefect.UNWRITTEN_END_IS_OVER
                                             ? Math.max(0, quietPeriod - QUIET_PERIOD_SHORTFALL)
--- a/src/test/java/firstage/lifecycle/AttemptStateMachineTest.java
+++ b/src/test/java/firstage/lifecycle/AttemptStateMachineTest.java
@@ -16,7 +16,7 @@
  */
 class AttemptStateMachineTest implements AttemptStateMachine.AttemptActions {
     private final List<String> actions = new ArrayList<>();
-    private AttemptStateMachine attempt = new AttemptStateMachine(this, true);
+    private AttemptStateMachine attempt = new AttemptStateMachine(this, true, false);
     private boolean connectionOpen;
     private boolean endAwaited = true;
     private long deadline;
@@ -135,7 +135,7 @@
         assertThat(actions).endsWith("timer 5000 RETRY_DELETE", "delete");
         assertThat(releases).isZero();
         attempt.onTimeout(now + 201_000, Timeout.EXPIRY);
-        assertThat(actions).endsWith("delete");
+        assertThat(actions).endsWith("delete", "confirmed");
         assertThat(releases).isEqualTo(1);
     }
 
@@ -153,8 +153,8 @@
     }
 
     @Test
-    void abandon_withoutOrderingKey_endsAtAbandonTimeout() {
-        attempt = new AttemptStateMachine(this, false);
+    void abandon_nothingWaitsForEnd_endsAtAbandonTimeout() {
+        attempt = new AttemptStateMachine(this, false, true);
         writeStatement();
         attempt.onStatementReply(now, EngineReply.PROGRESS);
         endAwaited = false;
@@ -169,6 +169,105 @@
         assertThat(releases).isEqualTo(1);
     }
 
+    /**
+     * The connection of the DELETE is reset, so the engine still runs the statement at the abandon
+     * timeout. The next attempt of the request must not start beside it.
+     */
+    @Test
+    void abandon_nextAttemptMustNotOverlap_deleteRepeatsUntilEndIsConfirmed() {
+        attempt = new AttemptStateMachine(this, false, false);
+        writeStatement();
+        attempt.onStatementReply(now, EngineReply.PROGRESS);
+        deadline = now + 50_000;
+        attempt.abandon(now + 10, AttemptOutcome.CANCELLED);
+        attempt.onDeleteFailed(now + 20, CallFailure.REPLY_LOST);
+        attempt.onTimeout(now + 210, Timeout.ABANDON);
+        assertThat(actions)
+                .containsExactly(
+                        "poll",
+                        "timer 200 ABANDON",
+                        "delete",
+                        "timer 500 RETRY_DELETE",
+                        "timer 50790 EXPIRY",
+                        "CANCELLED 50790");
+        attempt.onTimeout(now + 520, Timeout.RETRY_DELETE);
+        attempt.onDeleteFailed(now + 530, CallFailure.REPLY_LOST);
+        assertThat(actions).endsWith("delete", "timer 1000 RETRY_DELETE");
+        attempt.onTimeout(now + 1_530, Timeout.RETRY_DELETE);
+        attempt.onDeleteAcknowledged(now + 1_540);
+        assertThat(actions).endsWith("delete", "confirmed");
+        assertThat(releases).isEqualTo(1);
+    }
+
+    /** The engine resets the statement's connection unread, and answers that it knows no such. */
+    @Test
+    void statementConnectionEnded_laterDeleteAcknowledged_confirmsEnd() {
+        attempt = new AttemptStateMachine(this, false, false);
+        writeStatement();
+        attempt.onStatementFailed(now + 5, CallFailure.CONNECTION_ENDED);
+        attempt.onReply(now + 10, EngineReply.FAILED);
+        attempt.onDeleteAcknowledged(now + 20);
+        attempt.onTimeout(now + 210, Timeout.ABANDON);
+        assertThat(actions)
+                .containsExactly(
+                        "poll on new connection",
+                        "timer 200 ABANDON",
+                        "delete",
+                        "timer 2500 RETRY_DELETE",
+                        "timer " + (AttemptStateMachine.UNPOLLED_EXPIRY + 5 - 210) + " EXPIRY",
+                        "FAILED " + (AttemptStateMachine.UNPOLLED_EXPIRY + 5 - 210));
+        attempt.onTimeout(now + 2_520, Timeout.RETRY_DELETE);
+        attempt.onDeleteAcknowledged(now + 2_530);
+        assertThat(actions).endsWith("delete", "confirmed");
+        assertThat(releases).isEqualTo(1);
+    }
+
+    /** A statement without a reply may lie unread in the engine's socket for longer. */
+    @Test
+    void statementReplyLost_laterDeleteAcknowledged_confirmsNothing() {
+        attempt = new AttemptStateMachine(this, false, false);
+        writeStatement();
+        attempt.onStatementFailed(now + 5, CallFailure.REPLY_LOST);
+        attempt.onReply(now + 10, EngineReply.FAILED);
+        attempt.onDeleteAcknowledged(now + 20);
+        attempt.onTimeout(now + 210, Timeout.ABANDON);
+        attempt.onTimeout(now + 5_020, Timeout.RETRY_DELETE);
+        attempt.onDeleteAcknowledged(now + 5_030);
+        assertThat(actions).endsWith("delete", "timer 5000 RETRY_DELETE");
+        assertThat(releases).isZero();
+    }
+
+    @Test
+    void abandon_withoutKeyAndClientGone_endsAtAbandonTimeout() {
+        attempt = new AttemptStateMachine(this, false, false);
+        writeStatement();
+        endAwaited = false;
+        attempt.abandon(now + 10, AttemptOutcome.CANCELLED);
+        attempt.onTimeout(now + 210, Timeout.ABANDON);
+        assertThat(actions)
+                .last()
+                .isEqualTo("CANCELLED " + (AttemptStateMachine.UNPOLLED_EXPIRY - 210));
+        assertThat(releases).isEqualTo(1);
+    }
+
+    @Test
+    void failedDeletes_many_areRepeatedEveryHalfSecond() {
+        writeStatement();
+        attempt.abandon(now, AttemptOutcome.CANCELLED);
+        for (int i = 0; i < 100; i++) {
+            attempt.onDeleteFailed(now, CallFailure.CONNECTION_REFUSED);
+        }
+        assertThat(actions.subList(2, 8))
+                .containsExactly(
+                        "timer 500 RETRY_DELETE",
+                        "timer 1000 RETRY_DELETE",
+                        "timer 2000 RETRY_DELETE",
+                        "timer 4000 RETRY_DELETE",
+                        "timer 5000 RETRY_DELETE",
+                        "timer 5000 RETRY_DELETE");
+        assertThat(actions).last().isEqualTo("timer 5000 RETRY_DELETE");
+    }
+
     @Test
     void failedReply_statementUnacknowledged_provesNothing() {
         writeStatement();
@@ -199,6 +298,28 @@
                 .isEqualTo("CONNECTION_LOST " + (AttemptStateMachine.UNPOLLED_EXPIRY + 600 - 700));
     }
 
+    /** A draining engine may refuse connections; a restarted one does not know the statement. */
+    @Test
+    void connectionRefused_nextAttemptMustNotOverlap_isConfirmedByDelete() {
+        attempt = new AttemptStateMachine(this, false, false);
+        writeStatement();
+        deadline = now + 200_000;
+        attempt.onStatementReply(now, EngineReply.PROGRESS);
+        attempt.onCallFailed(now + 100, CallFailure.CONNECTION_REFUSED);
+        long heldFor = AttemptStateMachine.UNPOLLED_EXPIRY - 100;
+        assertThat(actions)
+                .containsExactly(
+                        "poll",
+                        "timer " + heldFor + " EXPIRY",
+                        "CONNECTION_LOST " + heldFor,
+                        "timer 500 RETRY_DELETE");
+        attempt.onTimeout(now + 600, Timeout.RETRY_DELETE);
+        attempt.onDeleteFailed(now + 610, CallFailure.CONNECTION_REFUSED);
+        attempt.onTimeout(now + 1_610, Timeout.RETRY_DELETE);
+        attempt.onDeleteAcknowledged(now + 1_620);
+        assertThat(actions).endsWith("delete", "confirmed");
+    }
+
     @Test
     void failedReply_withOrderingKey_isConfirmedByDelete() {
         writeStatement();
@@ -206,7 +327,7 @@
         assertThat(actions).containsExactly("timer 200 ABANDON", "delete");
         attempt.onDeleteAcknowledged(now + 10);
         assertThat(actions).last().isEqualTo("FAILED 0");
-        attempt = new AttemptStateMachine(this, false);
+        attempt = new AttemptStateMachine(this, false, true);
         writeStatement();
         attempt.onStatementReply(now, EngineReply.FAILED);
         assertThat(actions).containsExactly("FAILED 0");
@@ -284,6 +405,11 @@
         return deadline;
     }
 
+    @Override
+    public void confirmEnd() {
+        actions.add("confirmed");
+    }
+
     @Override
     public void release() {
         releases++;
--- a/src/test/java/firstage/server/RetriesIT.java
+++ b/src/test/java/firstage/server/RetriesIT.java
@@ -2,17 +2,20 @@
 
 import static firstage.fixtures.ClientWire.ONE_ROW_JSON;
 import static firstage.fixtures.ClientWire.orderingKey;
+import static firstage.fixtures.EngineWire.DELETED;
 import static firstage.fixtures.EngineWire.ENDLESS_HEAD;
 import static firstage.fixtures.EngineWire.GET_STATEMENT;
 import static firstage.fixtures.EngineWire.ONE_ROW;
 import static firstage.fixtures.EngineWire.RESET;
 import static firstage.fixtures.EngineWire.SILENCE;
 import static firstage.fixtures.EngineWire.STILL_RUNNING;
+import static firstage.fixtures.EngineWire.WAITING_FOR_LOAD;
 import static firstage.fixtures.EngineWire.getPage;
 import static firstage.fixtures.EngineWire.page;
 import static firstage.fixtures.ManagerSettings.LOAD;
 import static firstage.fixtures.ManagerSettings.LOOKUP;
 import static firstage.fixtures.ManagerSettings.REPORT;
+import static firstage.fixtures.ManagerSettings.withCancellation;
 import static firstage.fixtures.ScriptedCoordinator.READY;
 import static firstage.fixtures.ScriptedCoordinator.endpoint;
 import static org.assertj.core.api.Assertions.assertThat;
@@ -24,15 +27,22 @@
 import firstage.fixtures.ScriptedEngine;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests after which failures of an attempt the manager retries, polls again or fails the request.
  */
 class RetriesIT extends ManagerFixture {
+    /** Number of DELETEs that are lost before one is answered. */
+    private static final int LOST_DELETES = 2;
+
     @Test
     void nonIdempotentRequest_mayHaveRun_isNotRetried() throws Exception {
         engine.respondWith(call -> RESET);
@@ -100,6 +110,81 @@
         }
     }
 
+    /**
+     * An attempt is cancelled because it waits for a load, and its DELETE is lost. The next attempt
+     * must not start while the engine may still run the first one.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "reset, false",
+        "silence, false",
+        "not HTTP, false",
+        "reset, true",
+        "silence, true",
+        "not HTTP, true"
+    })
+    void cancelledAttempt_deleteLost_nextAttemptStartsOnceItIsConfirmed(
+            String firstDelete, boolean keyed) throws Exception {
+        manager.restart(withCancellation(config()));
+        ScriptedEngine secondEngine = newEngine();
+        AtomicInteger deletes = new AtomicInteger();
+        AtomicBoolean deleted = new AtomicBoolean();
+        AtomicBoolean overlapped = new AtomicBoolean();
+        engine.respondWith(
+                call -> {
+                    if (!call.isDelete()) {
+                        coordinator.publish(2, endpoint(2, secondEngine.port(), READY));
+                        return WAITING_FOR_LOAD;
+                    }
+                    deleted.set(deletes.incrementAndGet() > LOST_DELETES);
+                    return deleted.get() ? DELETED : firstDelete;
+                });
+        secondEngine.respondWith(
+                call -> {
+                    overlapped.compareAndSet(false, !deleted.get());
+                    return ONE_ROW;
+                });
+        try (QueryClient client = newClient()) {
+            HttpMessage response =
+                    client.requestToEnd(REPORT, keyed ? orderingKey("7f") : "", "SELECT 1", 9000);
+            assertThat(response.body()).isEqualTo(ONE_ROW_JSON);
+        }
+        assertThat(overlapped).isFalse();
+        assertThat(deletes).hasValue(LOST_DELETES + 1);
+        manager.terminate();
+        assertThat(manager.awaitExit()).isZero();
+    }
+
+    /** The engine's connections break and it refuses new ones, but it may run the attempt. */
+    @Test
+    void idempotentRequest_engineRefusesAfterReset_isRetriedOnceItMayNotRun() throws Exception {
+        ScriptedEngine secondEngine = newEngine();
+        AtomicLong lastCallAt = new AtomicLong();
+        AtomicLong retriedAt = new AtomicLong();
+        engine.respondWith(
+                call -> {
+                    coordinator.publish(2, endpoint(2, secondEngine.port(), READY));
+                    lastCallAt.set(System.nanoTime());
+                    if (call.isPost()) {
+                        return STILL_RUNNING;
+                    }
+                    engine.stopAccepting();
+                    return RESET;
+                });
+        secondEngine.respondWith(
+                call -> {
+                    retriedAt.compareAndSet(0, System.nanoTime());
+                    return ONE_ROW;
+                });
+        try (QueryClient client = newClient()) {
+            assertThat(client.requestToEnd(REPORT, "", "SELECT 1", 9000).body())
+                    .isEqualTo(ONE_ROW_JSON);
+        }
+        // An engine drops a statement 2 s after the end of its last poll.
+        assertThat(TimeUnit.NANOSECONDS.toMillis(retriedAt.get() - lastCallAt.get()))
+                .isBetween(2_250L, 6_000L);
+    }
+
     @Test
     void nonIdempotentRequest_connectionRefused_isRetriedElsewhere() throws Exception {
         engine.close();
