An id that comes again after it may have run gets 409 and no second attempt

Cause: only the ids of open requests were known, and a request is over for its client when that leaves, though its statement was written. Change: RequestExchange counts the attempts that were written and are not known never to have run; SpentRequestIds keeps the ids of requests that end with one: 128 for each MB of memory, those that must not run twice apart, so that a flood of others displaces none. 409 is an error, no refusal.

Evidence: RepeatedIdsIT: 8 of 12 failed on (7 of the 9 ways, and the flood of other ids), all pass. ClientErrorsIT and CancellationIT as they were: green.

--- a/src/main/java/firstage/config/ManagerConfig.java
+++ b/src/main/java/firstage/config/ManagerConfig.java
@@ -47,6 +47,11 @@
     private static final int CLIENT_MEMORY_DIVISOR = 8;
     private static final long BYTES_PER_MB = 1L << 20;
 
+    /** An id takes some 80 bytes, so that those of both kinds take 2% of the memory. */
+    private static final int SPENT_REQUEST_IDS_PER_MB = 128;
+
+    private static final int DEFAULT_SPENT_REQUEST_IDS = 64 * 1024;
+
     // Half of the range, so that the sum of two such limits does not overflow.
     private static final int UNLIMITED_CONNECTIONS = Integer.MAX_VALUE / 2;
     private static final long UNLIMITED_BYTES = Long.MAX_VALUE / 2;
@@ -73,6 +78,16 @@
                 : UNLIMITED_BYTES;
     }
 
+    /**
+     * Returns the maximum number of ids that are kept of requests that are over and may have run,
+     * for those that may run again, and for all others.
+     */
+    public int maxSpentRequestIds() {
+        return memoryLimitMb > 0
+                ? Math.min(memoryLimitMb * SPENT_REQUEST_IDS_PER_MB, DEFAULT_SPENT_REQUEST_IDS)
+                : DEFAULT_SPENT_REQUEST_IDS;
+    }
+
     /**
      * Returns the maximum number of connections to engines: the descriptors that clients and the
      * reserve leave.
--- a/src/main/java/firstage/server/RequestExchange.java
+++ b/src/main/java/firstage/server/RequestExchange.java
@@ -82,6 +82,9 @@
     private final ClientPresence client;
     private boolean settled;
 
+    /** Number of attempts that were sent and are not known never to have run. */
+    private int possibleExecutions;
+
     public RequestExchange(
             String id,
             String trafficClass,
@@ -104,6 +107,21 @@
         }
     }
 
+    /** Records that the statement of an attempt is being written to an engine. */
+    public void onStatementWritten() {
+        possibleExecutions++;
+    }
+
+    /** Records that an attempt whose statement was written never ran. */
+    public void onAttemptNeverRan() {
+        possibleExecutions--;
+    }
+
+    /** Returns whether an engine may have run the request, or may still run it. */
+    public boolean mayHaveRun() {
+        return possibleExecutions > 0;
+    }
+
     /** Returns whether the client has its answer or gets none. */
     public boolean isSettled() {
         return settled;
--- a/src/main/java/firstage/server/client/ClientHandler.java
+++ b/src/main/java/firstage/server/client/ClientHandler.java
@@ -76,9 +76,16 @@
         this.listenAddress = config.listenAddress();
         connections = new ClientConnections(io, counters, config.maxClientConnections());
         responses = new ClientResponses(io, clock, counters, guard, connections);
-        pendingCalls = new PendingCalls(counters, config.maxClientBytes());
-        trafficClasses = new TrafficClasses(config.settings(), StatementCallValidator.MAX_ESTIMATE);
-        validator = new StatementCallValidator(trafficClasses, pendingCalls::isOpen);
+        pendingCalls =
+                new PendingCalls(counters, config.maxClientBytes(), config.maxSpentRequestIds());
+        trafficClasses =
+                new TrafficClasses(
+                        config.settings(),
+                        config.deployment(),
+                        StatementCallValidator.MAX_ESTIMATE);
+        validator =
+                new StatementCallValidator(
+                        trafficClasses, pendingCalls::isOpen, pendingCalls::isSpent);
         statementReceiver =
                 new StatementReceiver(counters, guard, responses, this::handleStatement);
         listener =
@@ -299,7 +306,8 @@
                         responses,
                         pendingCalls,
                         call.requestId(),
-                        pendingCalls.newPollPath(call.requestId()));
+                        pendingCalls.newPollPath(call.requestId()),
+                        trafficClasses.mayRunAgain(call.trafficClassIndex()));
         // The timeout counts from the earliest possible arrival: a call that waited unread during a
         // pause of the process, or behind other calls, would otherwise be answered after its client
         // has given up.
--- a/src/main/java/firstage/server/client/PendingCall.java
+++ b/src/main/java/firstage/server/client/PendingCall.java
@@ -49,6 +49,7 @@
     private final PendingCalls pendingCalls;
     private final String id;
     private final String path;
+    private final boolean mayRunAgain;
     private final ClientCallStateMachine stateMachine = new ClientCallStateMachine(this);
     private RequestExchange request;
 
@@ -85,7 +86,8 @@
             ClientResponses responses,
             PendingCalls pendingCalls,
             String id,
-            String path) {
+            String path,
+            boolean mayRunAgain) {
         this.clock = clock;
         this.counters = counters;
         this.events = events;
@@ -95,6 +97,7 @@
         this.pendingCalls = pendingCalls;
         this.id = id;
         this.path = path;
+        this.mayRunAgain = mayRunAgain;
     }
 
     String id() {
@@ -110,6 +113,16 @@
         return request.statement.length + (answer == null ? 0 : answer.body.remaining());
     }
 
+    /** Returns whether an engine may have run the request, or may still run it. */
+    boolean mayHaveRun() {
+        return request.mayHaveRun();
+    }
+
+    /** Returns whether the request is idempotent without a key that shows a repetition. */
+    boolean mayRunAgain() {
+        return mayRunAgain;
+    }
+
     void start(RequestExchange acceptedRequest, HttpServerExchange firstCall) {
         request = acceptedRequest;
         heldCalls.add(new HeldCall(firstCall));
--- a/src/main/java/firstage/server/client/PendingCalls.java
+++ b/src/main/java/firstage/server/client/PendingCalls.java
@@ -14,6 +14,7 @@
 final class PendingCalls {
     private final Counters counters;
     private final long maxKeptBytes;
+    private final SpentRequestIds spentRequestIds;
     private final Map<String, PendingCall> byPollPath = new HashMap<>();
 
     /** Ids of the requests that are neither answered nor released. */
@@ -25,9 +26,10 @@
     private long acceptedCount;
     private int unansweredCount;
 
-    PendingCalls(Counters counters, long maxKeptBytes) {
+    PendingCalls(Counters counters, long maxKeptBytes, int maxSpentIds) {
         this.counters = counters;
         this.maxKeptBytes = maxKeptBytes;
+        spentRequestIds = new SpentRequestIds(counters, maxSpentIds);
     }
 
     /** Returns whether the request with this id is neither answered nor released. */
@@ -35,6 +37,11 @@
         return openRequestIds.contains(requestId);
     }
 
+    /** Returns whether a request with this id is over and may have run, as far as is known. */
+    boolean isSpent(String requestId) {
+        return spentRequestIds.contains(requestId);
+    }
+
     /** Returns whether this many additional bytes may be kept. */
     boolean hasCapacity(int bytes) {
         return keptBytes + bytes <= maxKeptBytes;
@@ -66,6 +73,9 @@
     /** Records that the answer was sent, or that the client needs none any more. */
     void onSettled(PendingCall call) {
         openRequestIds.remove(call.id());
+        if (call.mayHaveRun()) {
+            spentRequestIds.add(call.id(), call.mayRunAgain());
+        }
         unansweredCount--;
     }
 
--- a/src/main/java/firstage/server/client/StatementCallValidator.java
+++ b/src/main/java/firstage/server/client/StatementCallValidator.java
@@ -26,15 +26,19 @@
 
     private final TrafficClasses classes;
     private final Predicate<String> isOpen;
+    private final Predicate<String> isSpent;
 
     /**
      * Creates a validator.
      *
      * @param isOpen returns whether the request with an id is not answered yet
+     * @param isSpent returns whether a request with an id is over and may have run
      */
-    StatementCallValidator(TrafficClasses classes, Predicate<String> isOpen) {
+    StatementCallValidator(
+            TrafficClasses classes, Predicate<String> isOpen, Predicate<String> isSpent) {
         this.classes = classes;
         this.isOpen = isOpen;
+        this.isSpent = isSpent;
     }
 
     /** Returns the reason to refuse the call, or empty if it can be accepted. */
@@ -50,6 +54,10 @@
             // the answer to this one.
             return refuse(409, "X-Job-Id is of an open batch");
         }
+        if (isSpent.test(call.requestId())) {
+            // Not a rejection, which would promise that the request has not run.
+            return refuse(409, "X-Job-Id is of a batch that may have run");
+        }
         double maxTimeoutMs = classes.deadlineMs(call.trafficClassIndex()) * MAX_TIMEOUT_FACTOR;
         if (!(call.timeoutMs() > 0 && call.timeoutMs() <= maxTimeoutMs)) {
             return refuse(400, "X-Allow-Ms is missing or not usable");
--- a/src/main/java/firstage/server/engine/AttemptRunner.java
+++ b/src/main/java/firstage/server/engine/AttemptRunner.java
@@ -141,6 +141,7 @@
                     void onWriteStarted() {
                         stateMachine.onStatementWritten(now());
                         countedAsRunning = true;
+                        exchange.onStatementWritten();
                         pool.onAttemptRunning();
                     }
 
@@ -365,6 +366,9 @@
         if (countedAsLingering) {
             engines.addLingering(-1);
         }
+        if (countedAsRunning && !outcome.mayHaveRun) {
+            exchange.onAttemptNeverRan();
+        }
         context.events()
                 .onAttemptEnded(
                         exchange,
