A page fetch that meets a refused connection ends its attempt again

Cause: brought ENGINE_GONE_END_NEEDED for requests without a key, and the table had no entry for it while pages are fetched, so the attempt hung until the deadline. The statement has succeeded there: its end is proven.

--- a/src/main/java/firstage/lifecycle/AttemptTransitions.java
+++ b/src/main/java/firstage/lifecycle/AttemptTransitions.java
@@ -220,6 +220,12 @@
                 State.ENDED,
                 Action.END_PROVEN,
                 AttemptOutcome.CONNECTION_LOST);
+        on(
+                State.FETCHING_PAGES,
+                Event.ENGINE_GONE_END_NEEDED,
+                State.ENDED,
+                Action.END_PROVEN,
+                AttemptOutcome.CONNECTION_LOST);
         on(
                 State.FETCHING_PAGES,
                 Event.TOO_MANY_FAILURES,
--- a/src/test/java/firstage/lifecycle/AttemptStateMachineTest.java
+++ b/src/test/java/firstage/lifecycle/AttemptStateMachineTest.java
@@ -320,6 +320,17 @@
         assertThat(actions).endsWith("delete", "confirmed");
     }
 
+    /** The statement succeeded, so the next attempt waits for nothing. */
+    @Test
+    void connectionRefused_pagesMissing_provesEnd() {
+        attempt = new AttemptStateMachine(this, false, false);
+        writeStatement();
+        attempt.onStatementReply(now, EngineReply.PAGE);
+        attempt.onCallFailed(now + 100, CallFailure.CONNECTION_REFUSED);
+        assertThat(actions).containsExactly("fetch 1", "CONNECTION_LOST 0");
+        assertThat(releases).isEqualTo(1);
+    }
+
     @Test
     void failedReply_withOrderingKey_isConfirmedByDelete() {
         writeStatement();
