An engine's new process at an old address takes nothing over from the old one

Causes: a pool lived through a restart of its engine, and the new process's answers let old silent connections pass for alive; an engine that the list had not yet removed was still called at an address that another one had. Change: a later start begins a new pool; an engine whose address another one has now counts as gone, its connections end, no call is made for it, and its attempts end, proven.

--- a/src/main/java/firstage/lifecycle/AttemptStateMachine.java
+++ b/src/main/java/firstage/lifecycle/AttemptStateMachine.java
@@ -187,6 +187,8 @@
     public enum CallFailure {
         /** The connection was refused. */
         CONNECTION_REFUSED,
+        /** The engine's process has ended, as another one has its address. */
+        ENGINE_REPLACED,
         /** No connection was established within the connect timeout. */
         CONNECT_TIMEOUT,
         /** A new connection was reset before anything was written. */
@@ -344,7 +346,8 @@
                             ++consecutiveFailures < MAX_CONNECTION_RESETS
                                     ? Event.RESET_BEFORE_SEND
                                     : Event.TOO_MANY_FAILURES);
-            case CONNECTION_REFUSED, CONNECT_TIMEOUT -> handle(now, Event.CONNECT_FAILED);
+            case CONNECTION_REFUSED, CONNECT_TIMEOUT, ENGINE_REPLACED ->
+                    handle(now, Event.CONNECT_FAILED);
             case NOT_SENT -> handle(now, Event.NOT_SENT);
             default -> onCallFailed(now, failure);
         }
@@ -352,6 +355,10 @@
 
     /** Handles the failure of a poll or of the fetch of a page. */
     public void onCallFailed(long now, CallFailure failure) {
+        if (failure == CallFailure.ENGINE_REPLACED) {
+            handle(now, Event.ENGINE_REPLACED);
+            return;
+        }
         unreadableReplies += failure == CallFailure.REPLY_UNREADABLE ? 1 : 0;
         pollOnNewConnection = failure != CallFailure.CONNECTION_REFUSED;
         boolean engineGone =
@@ -412,7 +419,8 @@
     /** Handles a DELETE that could not be sent, or whose answer was lost. */
     public void onDeleteFailed(long now, CallFailure failure) {
         deleteOnNewConnection = failure != CallFailure.CONNECTION_REFUSED;
-        handle(now, Event.DELETE_FAILED);
+        boolean replaced = failure == CallFailure.ENGINE_REPLACED;
+        handle(now, replaced ? Event.ENGINE_REPLACED : Event.DELETE_FAILED);
     }
 
     /** Handles a timer that elapsed. */
--- a/src/main/java/firstage/lifecycle/AttemptTransitions.java
+++ b/src/main/java/firstage/lifecycle/AttemptTransitions.java
@@ -2,6 +2,7 @@
 
 import firstage.policy.api.AttemptOutcome;
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -38,6 +39,7 @@
         REPLY_LOST,
         ENGINE_GONE,
         ENGINE_GONE_END_NEEDED,
+        ENGINE_REPLACED,
         TOO_MANY_FAILURES,
         ABANDON,
         DELETE_ACKNOWLEDGED,
@@ -311,6 +313,27 @@
         on(State.LINGERING_UNACKNOWLEDGED, Event.EXPIRED, State.ENDED, Action.END_PROVEN);
     }
 
+    // Another process has the engine's address: its own has ended, and with it the statement.
+    static {
+        for (State state :
+                List.of(State.SENT, State.UNACKNOWLEDGED, State.RUNNING, State.FETCHING_PAGES)) {
+            on(
+                    state,
+                    Event.ENGINE_REPLACED,
+                    State.ENDED,
+                    Action.END_PROVEN,
+                    AttemptOutcome.CONNECTION_LOST);
+        }
+        for (State state :
+                List.of(
+                        State.ABANDONING,
+                        State.ABANDONING_UNACKNOWLEDGED,
+                        State.LINGERING,
+                        State.LINGERING_UNACKNOWLEDGED)) {
+            on(state, Event.ENGINE_REPLACED, State.ENDED, Action.END_PROVEN);
+        }
+    }
+
     private AttemptTransitions() {}
 
     private static void on(State state, Event event, State next, Action action) {
--- a/src/main/java/firstage/server/EngineDirectory.java
+++ b/src/main/java/firstage/server/EngineDirectory.java
@@ -2,13 +2,16 @@
 
 import firstage.config.IdRegistry;
 import firstage.policy.api.EndpointUpdate;
+import firstage.policy.api.EndpointUpdate.Lifecycle;
 import firstage.server.ServerEvents.DiscoveredEndpoint;
 import firstage.server.engine.EngineClients;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.function.IntConsumer;
+import java.util.logging.Logger;
 import java.util.stream.Collectors;
 
 /**
@@ -16,6 +19,7 @@
  * changes of the list on to the engine connections and to the scheduler. Owned by the I/O thread.
  */
 final class EngineDirectory {
+    private static final Logger LOG = Logger.getLogger(EngineDirectory.class.getName());
     private static final int UNKNOWN_ZONE = -1;
 
     private final TickClock clock;
@@ -66,18 +70,11 @@
         for (DiscoveredEndpoint endpoint : endpoints) {
             int index = ids.indexFor(endpoint.id());
             zoneByEngine.put(index, endpoint.zone());
-            engines.updateEndpoint(index, endpoint);
-            updated.add(
-                    new EndpointUpdate.Endpoint(
-                            index,
-                            endpoint.id(),
-                            endpoint.zone(),
-                            endpoint.kind(),
-                            endpoint.cell(),
-                            endpoint.lifecycle(),
-                            endpoint.weight(),
-                            endpoint.startedAt(),
-                            fleet.warmUpShare(endpoint)));
+            OptionalInt predecessor = engines.updateEndpoint(index, endpoint);
+            updated.add(listed(index, endpoint, endpoint.lifecycle(), fleet));
+            if (predecessor.isPresent()) {
+                updated.add(removePredecessor(predecessor.getAsInt(), endpoint, fleet));
+            }
         }
         if (kind == EndpointUpdate.Kind.SNAPSHOT) {
             engines.retainOnly(
@@ -92,6 +89,49 @@
                                 clock.now(), new EndpointUpdate(kind, updated)));
     }
 
+    private static EndpointUpdate.Endpoint listed(
+            int index, DiscoveredEndpoint endpoint, Lifecycle lifecycle, FleetControl fleet) {
+        return new EndpointUpdate.Endpoint(
+                index,
+                endpoint.id(),
+                endpoint.zone(),
+                endpoint.kind(),
+                endpoint.cell(),
+                lifecycle,
+                endpoint.weight(),
+                endpoint.startedAt(),
+                fleet.warmUpShare(endpoint));
+    }
+
+    /**
+     * Removes the engine that had the address of a new one: two processes can't have one address,
+     * so it has gone, whether or not the list says so yet. Statements for it would reach the new
+     * engine, and so would its polls and DELETEs, under the id of a request that the new one may
+     * run.
+     */
+    private EndpointUpdate.Endpoint removePredecessor(
+            int index, DiscoveredEndpoint successor, FleetControl fleet) {
+        counters.count("engines replaced at their address");
+        LOG.info(
+                () ->
+                        "engine replaced at its address engine="
+                                + ids.idOf(index)
+                                + " by="
+                                + successor.id());
+        engines.replaceEngine(index);
+        DiscoveredEndpoint gone =
+                new DiscoveredEndpoint(
+                        ids.idOf(index),
+                        successor.address(),
+                        zone(index),
+                        successor.kind(),
+                        successor.cell(),
+                        Lifecycle.GONE,
+                        successor.weight(),
+                        0);
+        return listed(index, gone, Lifecycle.GONE, fleet);
+    }
+
     /** Removes an engine that the scheduler has released; its index may be reused. */
     void release(int engine) {
         ids.release(engine);
--- a/src/main/java/firstage/server/engine/AttemptRunner.java
+++ b/src/main/java/firstage/server/engine/AttemptRunner.java
@@ -101,6 +101,7 @@
     private CallFailure callFailure(EngineCall.Failure failure) {
         record(EventType.CALL_FAILED, failure.ordinal());
         return switch (failure) {
+            case ENGINE_REPLACED -> CallFailure.ENGINE_REPLACED;
             case CONNECTION_REFUSED -> CallFailure.CONNECTION_REFUSED;
             case CONNECT_TIMEOUT -> CallFailure.CONNECT_TIMEOUT;
             case RESET_BEFORE_SEND -> CallFailure.RESET_BEFORE_SEND;
--- a/src/main/java/firstage/server/engine/EngineCall.java
+++ b/src/main/java/firstage/server/engine/EngineCall.java
@@ -10,10 +10,11 @@
  */
 abstract class EngineCall {
     /**
-     * Reason why a call has no usable response. With the first five, the call was not sent, or not
+     * Reason why a call has no usable response. With the first six, the call was not sent, or not
      * completely; with the others, the engine may have received it.
      */
     enum Failure {
+        ENGINE_REPLACED,
         CONNECTION_REFUSED,
         CONNECT_TIMEOUT,
         RESET_BEFORE_SEND,
--- a/src/main/java/firstage/server/engine/EngineClients.java
+++ b/src/main/java/firstage/server/engine/EngineClients.java
@@ -11,9 +11,13 @@
 import firstage.server.ServerEvents;
 import firstage.server.TickClock;
 import firstage.util.Ticks;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.xnio.XnioIoThread;
 
@@ -40,6 +44,9 @@
 
     private final List<Integer> attemptsInFlight = new ArrayList<>();
 
+    /** The engine that was listed last at each address, until it is removed. */
+    private final Map<InetSocketAddress, Integer> engineByAddress = new HashMap<>();
+
     public EngineClients(
             XnioIoThread io,
             TickClock clock,
@@ -62,13 +69,23 @@
         budget = new ConnectionBudget(counters, config.maxEngineConnections());
     }
 
-    /** Adds a newly listed engine, or applies a change to a known one. */
-    public void updateEndpoint(int index, ServerEvents.DiscoveredEndpoint endpoint) {
+    /**
+     * Adds a newly listed engine, or applies a change to a known one.
+     *
+     * @return the index of another engine that was listed at this address before, so that its
+     *     process has ended; empty if there is none
+     */
+    public OptionalInt updateEndpoint(int index, ServerEvents.DiscoveredEndpoint endpoint) {
         while (poolsByEngine.size() <= index) {
             poolsByEngine.add(null);
             attemptsInFlight.add(0);
         }
         EngineConnectionPool pool = poolsByEngine.get(index);
+        if (pool != null && endpoint.startedAt() > pool.startedAt) {
+            // The process at this address is another one now; connections to the old one may be
+            // open and silent.
+            pool.replace();
+        }
         if (endpoint.lifecycle() != Lifecycle.ACTIVE && pool != null) {
             pool.markDraining();
         }
@@ -81,8 +98,32 @@
             if (pool != null) {
                 pool.close();
             }
-            poolsByEngine.set(index, new EngineConnectionPool(context, budget, endpoint.address()));
+            EngineConnectionPool newPool =
+                    new EngineConnectionPool(
+                            context, budget, endpoint.address(), endpoint.startedAt());
+            poolsByEngine.set(index, newPool);
+            return findPredecessor(newPool, engineByAddress.put(endpoint.address(), index), index);
         }
+        return OptionalInt.empty();
+    }
+
+    private OptionalInt findPredecessor(
+            EngineConnectionPool pool, Integer formerEngine, int index) {
+        if (formerEngine == null || formerEngine == index) {
+            return OptionalInt.empty();
+        }
+        EngineConnectionPool formerPool = poolsByEngine.get(formerEngine);
+        boolean replaced =
+                formerPool != null
+                        && !formerPool.isReplaced()
+                        && formerPool.address.equals(pool.address)
+                        && formerPool.startedAt <= pool.startedAt;
+        return replaced ? OptionalInt.of(formerEngine) : OptionalInt.empty();
+    }
+
+    /** Makes no more calls to an engine whose address another engine has now. */
+    public void replaceEngine(int index) {
+        poolsByEngine.get(index).replace();
     }
 
     /** Closes the pools of all engines that are missing from a snapshot of the endpoint list. */
@@ -107,6 +148,7 @@
                 .checkInvariant(
                         attemptsInFlight.get(index) == 0,
                         "an engine that is released has no attempt in flight");
+        engineByAddress.remove(poolsByEngine.get(index).address, index);
         poolsByEngine.set(index, null);
     }
 
--- a/src/main/java/firstage/server/engine/EngineConnection.java
+++ b/src/main/java/firstage/server/engine/EngineConnection.java
@@ -246,6 +246,11 @@
         reader = null;
     }
 
+    /** Ends the connection and its call, as its engine's process has ended. */
+    void end() {
+        fail(EngineCall.Failure.ENDED_BY_ENGINE);
+    }
+
     void close() {
         closed = true;
         IoUtils.safeClose(channel);
--- a/src/main/java/firstage/server/engine/EngineConnectionPool.java
+++ b/src/main/java/firstage/server/engine/EngineConnectionPool.java
@@ -10,6 +10,7 @@
 import java.util.Iterator;
 import java.util.Set;
 import org.xnio.IoFuture;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
@@ -50,6 +51,10 @@
     private final ConnectionBudget budget;
     private final TickClock clock;
     final InetSocketAddress address;
+
+    /** Start of the engine's process as listed, in ticks; 0 if long ago. */
+    final long startedAt;
+
     private final String host;
 
     /** Idle connections; the last used one is reused first, so that the others age and expire. */
@@ -65,12 +70,19 @@
     private boolean draining;
     private boolean closed;
 
+    /** Whether another process has the address, so that no more calls are made. */
+    private boolean replaced;
+
     EngineConnectionPool(
-            EngineContext context, ConnectionBudget budget, InetSocketAddress address) {
+            EngineContext context,
+            ConnectionBudget budget,
+            InetSocketAddress address,
+            long startedAt) {
         this.context = context;
         this.budget = budget;
         this.clock = context.clock();
         this.address = address;
+        this.startedAt = startedAt;
         this.host = address.getHostString() + ":" + address.getPort();
     }
 
@@ -105,6 +117,10 @@
      */
     void call(EngineCall call, boolean onNewConnection, boolean requireQuiet) {
         closeExpired();
+        if (replaced) {
+            context.io().execute(() -> call.onFailure(EngineCall.Failure.ENGINE_REPLACED));
+            return;
+        }
         EngineConnection idleConnection = onNewConnection ? null : findUsableIdle(requireQuiet);
         if (idleConnection != null) {
             sendIfAllowed(idleConnection, call, 0);
@@ -207,7 +223,9 @@
 
     private void onConnectFinished(EngineCall call, IoFuture<? extends StreamConnection> future) {
         connectingCount--;
-        if (future.getStatus() == IoFuture.Status.DONE) {
+        if (future.getStatus() == IoFuture.Status.DONE && replaced) {
+            refuseAsReplaced(call, future);
+        } else if (future.getStatus() == IoFuture.Status.DONE) {
             onConnected(call, future);
         } else {
             budget.release();
@@ -228,6 +246,17 @@
                 : EngineCall.Failure.CONNECTION_REFUSED;
     }
 
+    /** A process that started meanwhile must not get a call that was meant for the one before. */
+    private void refuseAsReplaced(EngineCall call, IoFuture<? extends StreamConnection> future) {
+        budget.release();
+        try {
+            IoUtils.safeClose(future.get());
+        } catch (IOException exception) {
+            // The connection has failed already.
+        }
+        call.onFailure(EngineCall.Failure.ENGINE_REPLACED);
+    }
+
     private void onConnected(EngineCall call, IoFuture<? extends StreamConnection> future) {
         try {
             EngineConnection connection =
@@ -349,6 +378,23 @@
         return closed;
     }
 
+    /**
+     * Closes all connections and makes no more calls: the engine's process has ended, and another
+     * one has its address. A call in flight ends as if the process had reset its connection.
+     */
+    void replace() {
+        replaced = true;
+        markDraining();
+        close();
+        for (EngineConnection connection : Set.copyOf(openConnections)) {
+            connection.end();
+        }
+    }
+
+    boolean isReplaced() {
+        return replaced;
+    }
+
     /** Closes the idle connections now, and the others when their calls end. */
     void close() {
         closed = true;
--- a/src/test/java/firstage/lifecycle/AttemptStateMachineTest.java
+++ b/src/test/java/firstage/lifecycle/AttemptStateMachineTest.java
@@ -331,6 +331,20 @@
         assertThat(releases).isEqualTo(1);
     }
 
+    @Test
+    void engineReplaced_inEachState_provesEnd() {
+        attempt = new AttemptStateMachine(this, false, false);
+        writeStatement();
+        attempt.onStatementFailed(now + 5, CallFailure.CONNECTION_ENDED);
+        attempt.onCallFailed(now + 10, CallFailure.ENGINE_REPLACED);
+        assertThat(actions).last().isEqualTo("CONNECTION_LOST 0");
+        attempt = new AttemptStateMachine(this, true, false);
+        writeStatement();
+        attempt.abandon(now, AttemptOutcome.CANCELLED);
+        attempt.onDeleteFailed(now + 10, CallFailure.ENGINE_REPLACED);
+        assertThat(actions).last().isEqualTo("CANCELLED 0");
+    }
+
     @Test
     void failedReply_withOrderingKey_isConfirmedByDelete() {
         writeStatement();
