At the connection limit the ends of connections are read before one is closed for another

Callers saw usual requests lost beside clients that connect anew for each call: their kept connections were closed between two calls, and new ones unread. Cause: connections whose clients had closed kept their places until their ends were read, in the queue of reads or by the next selector pass; accepts were held back for queued calls only. Change: at the limit an accept waits for queued reads and for one pass that reads what had arrived; then one connection is accepted as before.

IoThreadFairnessIT.keptConnection_besideClientsThatConnectAnew_staysOpen failed on and with the queued reads alone. IoThreadFairnessIT, ConnectionsIT, ShutdownIT: 28 of 28 green.

--- a/src/main/java/firstage/server/ClientWork.java
+++ b/src/main/java/firstage/server/ClientWork.java
@@ -73,6 +73,11 @@
         return reads.isEmpty() && calls.isEmpty();
     }
 
+    /** Runs a callback once all input is read that had arrived before the next selector pass. */
+    public void runAfterNextReads(Runnable callback) {
+        selectorPass.runAfterNext(() -> reads.runAfterQueued(callback));
+    }
+
     private void onWork() {
         if (!sliceEndScheduled && !runningSlices) {
             sliceEndScheduled = true;
--- a/src/main/java/firstage/server/client/ClientListener.java
+++ b/src/main/java/firstage/server/client/ClientListener.java
@@ -45,6 +45,11 @@
     /** Whether connections wait until queued calls are handled, as all others have a call. */
     private boolean acceptHeldBack;
 
+    /** Whether all input that had arrived was read just now, and with it the ended connections. */
+    private boolean pendingEndsRead;
+
+    private boolean acceptScheduled;
+
     /** Whether the listener is about to be closed. */
     private boolean stopping;
 
@@ -133,6 +138,7 @@
         try {
             SocketChannel next = mayAccept ? server.accept() : null;
             while (next != null) {
+                pendingEndsRead &= connections.hasRoom();
                 register(next);
                 accepted++;
                 mayAccept = mayAccept();
@@ -146,16 +152,32 @@
 
     /**
      * Returns whether to accept another connection. At the limit, it or one that is about to carry
-     * a call would be closed, though queued calls of others are about to end; it is left for a
-     * later pass of the selector instead.
+     * a call would be closed, though queued calls of others are about to end, or their clients have
+     * closed and that is not read yet. It is left for a later pass of the selector instead, and
+     * accepted once all that had arrived is read.
      */
     private boolean mayAccept() {
-        return connections.hasRoom() || work.calls().isEmpty() || stopping;
+        return connections.hasRoom() || stopping || work.isEmpty() && pendingEndsRead;
+    }
+
+    /** Accepts one connection beyond the limit once the ends of the others have been read. */
+    private void acceptAfterPendingEnds() {
+        if (!acceptScheduled) {
+            acceptScheduled = true;
+            work.runAfterNextReads(
+                    () -> {
+                        acceptScheduled = false;
+                        pendingEndsRead = true;
+                        acceptPending();
+                        pendingEndsRead = false;
+                    });
+        }
     }
 
     private void setAcceptHeldBack(boolean heldBack) {
         if (heldBack) {
             counters.count("accepts held back");
+            acceptAfterPendingEnds();
             if (!acceptHeldBack) {
                 guard.onAcceptFailed();
             }
--- a/src/test/java/firstage/server/IoThreadFairnessIT.java
+++ b/src/test/java/firstage/server/IoThreadFairnessIT.java
@@ -5,6 +5,7 @@
 import static firstage.fixtures.EngineWire.STILL_RUNNING;
 import static firstage.fixtures.ManagerSettings.LOOKUP;
 import static firstage.fixtures.ManagerSettings.REPORT;
+import static firstage.fixtures.ManagerSettings.withSockets;
 import static firstage.fixtures.ScriptedCoordinator.READY;
 import static firstage.fixtures.ScriptedCoordinator.endpoint;
 import static org.assertj.core.api.Assertions.assertThat;
@@ -28,6 +29,9 @@
 class IoThreadFairnessIT extends ManagerFixture {
     private static final int CLIENTS = 60;
 
+    /** A third of them and 16 are the limit of client connections. */
+    private static final int SOCKETS_FOR_72_CLIENTS = 168;
+
     /** Time for which usual requests are made beside the other clients. */
     private static final int LENGTH_MS = 4_000;
 
@@ -96,6 +100,30 @@
         }
     }
 
+    /**
+     * Guards against clients that connect anew for each refused call: their ended connections, not
+     * read yet, reached the limit, and usual clients' connections were closed for new ones.
+     */
+    @Test
+    void keptConnection_besideClientsThatConnectAnew_staysOpen() throws Exception {
+        manager.restart(withSockets(config(), SOCKETS_FOR_72_CLIENTS));
+        byte[] call = RepeatingClients.callWithoutId(LOOKUP, 0);
+        try (RepeatingClients others = startClients(CLIENTS, call, Conduct.RECONNECTS);
+                QueryClient client = newClient()) {
+            client.setReadTimeout(DEADLINE_MS + LOST_AFTER_MS);
+            long start = System.nanoTime();
+            while (millisecondsSince(start) < LENGTH_MS) {
+                assertThat(client.requestToEnd(LOOKUP, "", "SELECT 1", DEADLINE_MS).status())
+                        .isIn(200, 500, 503);
+                Thread.sleep(50);
+            }
+            assertThat(others.answers()).isGreaterThan(CLIENTS);
+        }
+        manager.terminate();
+        assertThat(manager.awaitExit()).isZero();
+        assertThat(manager.log()).doesNotContain("client connections closed for others");
+    }
+
     /** Guards against input that is not HTTP, which is refused before any handler is called. */
     @Test
     void requests_besideClientsThatSendNoHttp_areAnswered() throws Exception {
