After a start, updates that have arrived are applied before anything is sent

Cause: the timer that lets requests go on 1 s after the start ran out although updates had arrived and waited for their next time slice. Change: it runs on meanwhile, 5 s in all.

--- a/src/main/java/firstage/server/discovery/EndpointWatcher.java
+++ b/src/main/java/firstage/server/discovery/EndpointWatcher.java
@@ -63,6 +63,12 @@
      */
     private static final long CONFIRM_TIMEOUT_MS = 1_000;
 
+    /**
+     * Time after the start at which the list is acted on although updates that have arrived are
+     * still being applied; a coordinator that never pauses must not keep requests waiting.
+     */
+    private static final long MAX_CONFIRM_TIMEOUT_MS = 5_000;
+
     /** Time per selector pass in which updates are applied, exceeded by one update at most. */
     private static final long UPDATE_SLICE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
 
@@ -84,6 +90,9 @@
 
     private boolean dataReceived;
 
+    /** Whether updates that have arrived wait for the next time slice. */
+    private boolean updatesDeferred;
+
     /** Whether the coordinator confirmed the list since the start, or failed to do so in time. */
     private boolean confirmed;
 
@@ -148,7 +157,7 @@
             LOG.warning("initial endpoints unreadable cause=" + exception.getMessage());
         }
         if (coordinator == null) {
-            guard.executeAfter(CONFIRM_TIMEOUT_MS, this::onConfirmTimeout);
+            guard.executeAfter(CONFIRM_TIMEOUT_MS, () -> onConfirmTimeout(CONFIRM_TIMEOUT_MS));
         }
         coordinator = config.coordinatorAddress();
         closeConnection();
@@ -173,9 +182,13 @@
 
     /**
      * Acts on the list as it is: requests must not wait for a coordinator that can't be reached.
+     * Updates that have arrived are applied first, since a drain may be among them.
      */
-    private void onConfirmTimeout() {
-        if (!confirmed) {
+    private void onConfirmTimeout(long waitedMs) {
+        if (updatesDeferred && waitedMs < MAX_CONFIRM_TIMEOUT_MS) {
+            guard.executeAfter(
+                    CONFIRM_TIMEOUT_MS, () -> onConfirmTimeout(waitedMs + CONFIRM_TIMEOUT_MS));
+        } else if (!confirmed) {
             confirmed = true;
             counters.count("endpoint lists unconfirmed");
             LOG.warning("endpoint list not confirmed in time lastEvent=" + lastEventNumber);
@@ -316,6 +329,7 @@
         silenceTimer = null;
         reconnectTimer = null;
         receivedFrames.clear();
+        updatesDeferred = false;
         IoUtils.safeClose(connection);
         connection = null;
     }
@@ -358,6 +372,7 @@
             return false;
         }
         if (bytesRead == 0) {
+            updatesDeferred = false;
             confirmIfComplete();
             return false;
         }
@@ -373,6 +388,7 @@
      */
     private void continueInNextPass(ConduitStreamSourceChannel source) {
         counters.count("endpoint updates deferred");
+        updatesDeferred = true;
         source.suspendReads();
         long generation = connectionGeneration;
         selectorPass.runAfterNext(
--- a/src/test/java/firstage/server/DiscoveryIT.java
+++ b/src/test/java/firstage/server/DiscoveryIT.java
@@ -17,6 +17,9 @@
 
 /** Tests the watch on the coordinator's endpoint list. */
 class DiscoveryIT extends ManagerFixture {
+    /** Updates that take a manager longer than a second to apply. */
+    private static final int UPDATES_FOR_SECONDS = 30_000;
+
     /** Endpoints in a list of half a megabyte, several times that of the largest fleet. */
     private static final int LONG_LIST = 20_000;
 
@@ -134,6 +137,29 @@
         assertThat(secondEngine.calls()).isNotEmpty();
     }
 
+    /**
+     * Guards against statements that are sent 1 s after the start although updates have arrived and
+     * are still being applied: the drain of the only known engine is the last of them.
+     */
+    @Test
+    void start_updatesTakeLongerThanConfirmTimeout_nothingIsSentBeforeTheLast() throws Exception {
+        manager.kill();
+        ScriptedEngine secondEngine = newEngine();
+        int number = 2;
+        while (number < UPDATES_FOR_SECONDS) {
+            coordinator.publishToLaterWatches(number++, CHANGE, endpoint(1, engine.port(), READY));
+        }
+        coordinator.publishToLaterWatches(number++, CHANGE, endpoint(1, engine.port(), DRAINING));
+        coordinator.publishToLaterWatches(number, CHANGE, endpoint(2, secondEngine.port(), READY));
+        manager.start(config());
+        manager.awaitAlive();
+        try (QueryClient client = newClient()) {
+            assertThat(client.requestToEnd(LOOKUP, "", "SELECT 1", 9000).status()).isEqualTo(200);
+        }
+        assertThat(engine.calls()).isEmpty();
+        assertThat(secondEngine.calls()).isNotEmpty();
+    }
+
     /**
      * Guards against a list that is applied and yet stays unconfirmed, so that requests wait: it
      * takes longer than the time slice of a selector pass, and nothing is sent after it.
