Only an engine that is listed as active takes an address over; keys keep their old proof

Read through after: an engine that was never listed and is told as gone, or draining, at the address of a live one made that one count as gone. And the shorter proof after a reset of the statement's connection, brought by for a request's own next attempt, also freed ordering keys: the order of a key waits again as it did before.

--- a/src/main/java/firstage/lifecycle/AttemptStateMachine.java
+++ b/src/main/java/firstage/lifecycle/AttemptStateMachine.java
@@ -411,11 +411,19 @@
      * it read the latest DELETE: the connection had ended, and the engine had responded since.
      */
     private boolean hasReadStatementConnection() {
-        return statementConnectionEnded
+        return mayArriveLateOnly()
                 && deleteAcknowledged
                 && deleteSentAt >= deleteAcknowledgedAt + LATE_READ_ALLOWANCE;
     }
 
+    /**
+     * Returns whether the statement can only have arrived, or arrive within {@link
+     * #LATE_READ_ALLOWANCE}. The order of a key does not rely on this.
+     */
+    private boolean mayArriveLateOnly() {
+        return !keyed && statementConnectionEnded;
+    }
+
     /** Handles a DELETE that could not be sent, or whose answer was lost. */
     public void onDeleteFailed(long now, CallFailure failure) {
         deleteOnNewConnection = failure != CallFailure.CONNECTION_REFUSED;
@@ -478,9 +486,7 @@
             case RETRY_DELETE -> actions.startTimer(nextDeleteDelay(), Timeout.RETRY_DELETE);
             case REPEAT_DELETE ->
                     actions.startTimer(
-                            statementConnectionEnded
-                                    ? LATE_READ_ALLOWANCE
-                                    : REPEATED_DELETE_INTERVAL,
+                            mayArriveLateOnly() ? LATE_READ_ALLOWANCE : REPEATED_DELETE_INTERVAL,
                             Timeout.RETRY_DELETE);
             case LINGER -> linger(now);
             case LINGER_AND_DELETE -> {
--- a/src/main/java/firstage/lifecycle/AttemptTransitions.java
+++ b/src/main/java/firstage/lifecycle/AttemptTransitions.java
@@ -281,8 +281,8 @@
                 Action.LINGER);
         // The attempt was abandoned, the abandon timeout is over, and other requests of the
         // ordering key wait, or the next attempt of the same request does. An engine that received
-        // no DELETE may still run the statement, and
-        // keeps the unread result until the client's deadline.
+        // no DELETE may still run the statement, and keeps the unread result until the client's
+        // deadline.
         on(State.LINGERING, Event.DELETE_ACKNOWLEDGED, State.ENDED, Action.END_PROVEN);
         on(State.LINGERING, Event.REFUSED, State.ENDED, Action.END_PROVEN);
         on(State.LINGERING, Event.FAILED, State.ENDED, Action.END_PROVEN);
--- a/src/main/java/firstage/server/engine/EngineClients.java
+++ b/src/main/java/firstage/server/engine/EngineClients.java
@@ -44,7 +44,7 @@
 
     private final List<Integer> attemptsInFlight = new ArrayList<>();
 
-    /** The engine that was listed last at each address, until it is removed. */
+    /** The engine that was listed last as active at each address, until it is removed. */
     private final Map<InetSocketAddress, Integer> engineByAddress = new HashMap<>();
 
     public EngineClients(
@@ -102,7 +102,10 @@
                     new EngineConnectionPool(
                             context, budget, endpoint.address(), endpoint.startedAt());
             poolsByEngine.set(index, newPool);
-            return findPredecessor(newPool, engineByAddress.put(endpoint.address(), index), index);
+            if (endpoint.lifecycle() == Lifecycle.ACTIVE) {
+                Integer formerEngine = engineByAddress.put(endpoint.address(), index);
+                return findPredecessor(newPool, formerEngine, index);
+            }
         }
         return OptionalInt.empty();
     }
--- a/src/test/java/firstage/server/ReplacedEnginesIT.java
+++ b/src/test/java/firstage/server/ReplacedEnginesIT.java
@@ -7,6 +7,7 @@
 import static firstage.fixtures.EngineWire.STILL_RUNNING;
 import static firstage.fixtures.ManagerSettings.LOAD;
 import static firstage.fixtures.ManagerSettings.REPORT;
+import static firstage.fixtures.ScriptedCoordinator.DRAINING;
 import static firstage.fixtures.ScriptedCoordinator.GONE;
 import static firstage.fixtures.ScriptedCoordinator.READY;
 import static firstage.fixtures.ScriptedCoordinator.endpoint;
@@ -114,6 +115,17 @@
         assertThat(engine.posts()).isEmpty();
     }
 
+    /** The removal of an engine that was never listed must not remove the one at its address. */
+    @ParameterizedTest
+    @ValueSource(ints = {GONE, DRAINING})
+    void unknownEngineAtAddress_leaves_otherOneIsUsed(int state) throws Exception {
+        coordinator.publish(2, endpoint(7, engine.port(), state));
+        manager.awaitLog("event=2");
+        try (QueryClient client = newClient()) {
+            assertThat(client.requestToEnd(REPORT, "", "SELECT 1", 2000).status()).isEqualTo(200);
+        }
+    }
+
     private static byte[] records(String order, int port) throws Exception {
         byte[] added = endpoint(2, port, READY);
         byte[] removed = endpoint(1, port, GONE);
