A coordinator that never pauses holds requests back for 1 s only, not for 5 s

Cause: since the timer of the start ran on for as long as updates were waiting. Change: the coordinator sends pending events first and an empty frame then, so once an empty frame was applied the list counts at the timer.

--- a/src/main/java/firstage/server/discovery/EndpointWatcher.java
+++ b/src/main/java/firstage/server/discovery/EndpointWatcher.java
@@ -69,6 +69,9 @@
      */
     private static final long MAX_CONFIRM_TIMEOUT_MS = 5_000;
 
+    /** Interval of checks whether the updates that had arrived by the timeout are applied. */
+    private static final long CONFIRM_CHECK_INTERVAL_MS = 100;
+
     /** Time per selector pass in which updates are applied, exceeded by one update at most. */
     private static final long UPDATE_SLICE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
 
@@ -93,6 +96,12 @@
     /** Whether updates that have arrived wait for the next time slice. */
     private boolean updatesDeferred;
 
+    /**
+     * Whether an empty frame was applied on this connection. The coordinator sends it after the
+     * events that were pending when the connection was opened.
+     */
+    private boolean pendingEventsApplied;
+
     /** Whether the coordinator confirmed the list since the start, or failed to do so in time. */
     private boolean confirmed;
 
@@ -182,12 +191,16 @@
 
     /**
      * Acts on the list as it is: requests must not wait for a coordinator that can't be reached.
-     * Updates that have arrived are applied first, since a drain may be among them.
+     * Updates that were pending at the start are applied first, since a drain may be among them;
+     * later ones, which may follow without a pause, are not waited for.
      */
     private void onConfirmTimeout(long waitedMs) {
-        if (updatesDeferred && waitedMs < MAX_CONFIRM_TIMEOUT_MS) {
+        if (pendingEventsApplied) {
+            confirm();
+        } else if (updatesDeferred && waitedMs < MAX_CONFIRM_TIMEOUT_MS) {
             guard.executeAfter(
-                    CONFIRM_TIMEOUT_MS, () -> onConfirmTimeout(waitedMs + CONFIRM_TIMEOUT_MS));
+                    CONFIRM_CHECK_INTERVAL_MS,
+                    () -> onConfirmTimeout(waitedMs + CONFIRM_CHECK_INTERVAL_MS));
         } else if (!confirmed) {
             confirmed = true;
             counters.count("endpoint lists unconfirmed");
@@ -330,6 +343,7 @@
         reconnectTimer = null;
         receivedFrames.clear();
         updatesDeferred = false;
+        pendingEventsApplied = false;
         IoUtils.safeClose(connection);
         connection = null;
     }
@@ -422,7 +436,11 @@
     }
 
     private void applyFrame(FrameDecoder.Frame frame) throws IOException {
-        if (frame.type() == 0 || frame.eventNumber() <= lastEventNumber) {
+        if (frame.type() == 0) {
+            pendingEventsApplied = true;
+            return;
+        }
+        if (frame.eventNumber() <= lastEventNumber) {
             return;
         }
         if (frame.type() > 2) {
