A manager of another name at a used address takes its predecessor's share over

Seen in virtual time, six managers: the answers of a new manager at the address of one that had gone passed for that one's, so the old one stayed in the view for ever; started later, the shares of an engine added up to 1.0167. Cause: probes are ended by any answer with their number, and shares are counted by name, though the address has one. Change: the first message of another name from an address makes the earlier manager a suspect and ends its part in the leases; the successor inherits the times of its grant and withdrawal.

--- a/src/main/java/firstage/membership/MembershipProtocol.java
+++ b/src/main/java/firstage/membership/MembershipProtocol.java
@@ -301,11 +301,30 @@
                     "two managers use this name; give each manager a name of its own");
             return false;
         }
+        if (isLateMessageOfReplacedPeer(now, address, peer, message)) {
+            reject("replaced at its address");
+            return false;
+        }
         return true;
     }
 
+    /**
+     * Returns whether another manager has replaced the sender at its address, and the sender sent
+     * this message before. A sender that has been started there again has a higher incarnation.
+     */
+    private boolean isLateMessageOfReplacedPeer(
+            long now, int address, Peer peer, MembershipMessage message) {
+        Peer successor = table.peerAt(address);
+        return !peer.hasAddress()
+                && successor != null
+                && successor != peer
+                && successor.timeSinceHeard(now) < Peer.UNHEARD_AFTER
+                && message.incarnation() <= peer.member().incarnation();
+    }
+
     private void accept(long now, int address, Peer peer, MembershipMessage message) {
         boolean wasDead = peer.state() == MemberState.DEAD;
+        replacePredecessor(now, address, peer);
         peer.onMessage(now, address, message);
         table.recordAddress(address, message.from());
         message.members().forEach(member -> applyGossip(now, member));
@@ -318,6 +337,26 @@
         views.onPeerView(message.viewNumber(), message.viewHash());
     }
 
+    /**
+     * Handles the first message of a manager from an address that a manager of another name used.
+     * An address has one process at a time, so the earlier manager has ended there. Its share is
+     * the successor's now: both must never count.
+     */
+    private void replacePredecessor(long now, int address, Peer successor) {
+        Peer predecessor = table.peerAt(address);
+        if (predecessor == null || predecessor == successor || predecessor.address() != address) {
+            return;
+        }
+        predecessor.forgetAddress();
+        leases.onReplaced(predecessor.name(), successor.name());
+        applyEvent(
+                now,
+                predecessor,
+                MemberTransition.Event.PROBE_UNANSWERED,
+                predecessor.member().withState(MemberState.SUSPECT),
+                successor.name() + " sends from its address");
+    }
+
     private void answer(long now, Peer peer, MembershipMessage message) {
         switch (message.kind()) {
             case PING ->
@@ -453,8 +492,9 @@
             }
         }
         if (before != next) {
-            boolean unreachable = next == MemberState.DEAD || next == MemberState.LEFT;
-            leases.setUnreachable(now, member.name(), unreachable);
+            boolean gone = next == MemberState.DEAD || next == MemberState.LEFT;
+            // Without an address its share may be that of a successor at the same address.
+            leases.setUnreachable(now, member.name(), gone && peer.hasAddress());
             views.onMemberChanged(now);
             actions.logMemberEvent(now, lowerCaseName(next), member.name(), reason);
         }
--- a/src/main/java/firstage/membership/Peer.java
+++ b/src/main/java/firstage/membership/Peer.java
@@ -59,11 +59,19 @@
         return address >= 0;
     }
 
-    /** Returns the index of the peer's address; -1 before its first message. */
+    /**
+     * Returns the index of the peer's address; -1 before its first message, and after another
+     * manager has replaced it there.
+     */
     int address() {
         return address;
     }
 
+    /** Forgets the address, which another manager uses now. */
+    void forgetAddress() {
+        address = -1;
+    }
+
     long viewNumber() {
         return viewNumber;
     }
--- a/src/main/java/firstage/membership/QuotaLeases.java
+++ b/src/main/java/firstage/membership/QuotaLeases.java
@@ -165,6 +165,24 @@
         share = -1;
     }
 
+    /**
+     * Records that a manager of another name has replaced one at its address, and so has its share.
+     * The successor is granted nothing while a withdrawal from its predecessor may be in use, and
+     * of both only one counts as a manager that grants and withdraws.
+     */
+    void onReplaced(String predecessor, String successor) {
+        PeerGrant earlier = peerGrants.remove(predecessor);
+        if (earlier != null) {
+            PeerGrant later = peerGrant(successor);
+            later.grantedAt = Math.max(later.grantedAt, earlier.grantedAt);
+            later.withdrawnAt = Math.max(later.withdrawnAt, earlier.withdrawnAt);
+        }
+        grantExpiries.remove(predecessor);
+        withdrawalExpiries.remove(predecessor);
+        withdrawalExpiries.values().forEach(expiries -> expiries.remove(predecessor));
+        share = -1;
+    }
+
     /** Records that the mark requested by {@link LeaseActions#storeWithdrawalMark} is stored. */
     public void onWithdrawalMarkStored() {
         withdrawalMarkStored = true;
--- a/src/main/java/firstage/simulation/schedule/SimulatedMembership.java
+++ b/src/main/java/firstage/simulation/schedule/SimulatedMembership.java
@@ -30,6 +30,7 @@
     /** A host that runs the processes of one manager, one after another. */
     public final class ManagerHost implements MembershipActions {
         private final int number;
+        private String name;
         private MembershipProtocol membership;
         private QuotaLeases leases;
         private boolean up;
@@ -42,6 +43,7 @@
 
         private ManagerHost(int number) {
             this.number = number;
+            name = "m" + number;
         }
 
         public MembershipProtocol membership() {
@@ -84,7 +86,7 @@
                     new MembershipProtocol(
                             "field",
                             new Member(
-                                    "m" + number,
+                                    name,
                                     "z" + number % 2,
                                     events.now() + 1,
                                     MemberState.ALIVE,
@@ -100,6 +102,13 @@
             tick(startedIncarnation);
         }
 
+        /** Starts a manager of another name at this host's address, without the earlier's mark. */
+        public void startReplacement(String newName) {
+            name = newName;
+            mayHaveWithdrawnBefore = false;
+            start();
+        }
+
         public void kill() {
             up = false;
             incarnation++;
@@ -180,16 +189,9 @@
         @Override
         public void logMemberEvent(long now, String event, String member, String reason) {
             if (event.equals("dead")) {
-                int memberIndex = Integer.parseInt(member.substring(1));
-                if (hosts.get(memberIndex).up) {
+                if (hosts.stream().anyMatch(host -> host.up && host.name.equals(member))) {
                     falselyDead.add(
-                            now / 10
-                                    + " ms: m"
-                                    + number
-                                    + " declared m"
-                                    + memberIndex
-                                    + " dead: "
-                                    + reason);
+                            now / 10 + " ms: " + name + " declared " + member + " dead: " + reason);
                 }
             }
         }
@@ -279,7 +281,7 @@
      */
     public boolean isAgreed() {
         Set<String> up = new HashSet<>();
-        hosts.stream().filter(host -> host.up).forEach(host -> up.add("m" + host.number));
+        hosts.stream().filter(host -> host.up).forEach(host -> up.add(host.name));
         MembershipView firstView = null;
         for (ManagerHost host : hosts) {
             if (host.up) {
--- a/src/test/java/firstage/membership/MembershipProtocolTest.java
+++ b/src/test/java/firstage/membership/MembershipProtocolTest.java
@@ -9,6 +9,8 @@
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests the membership in virtual time: pauses, lost messages, one-way cuts, simultaneous deaths
@@ -302,6 +304,42 @@
         assertThat(manager1.rejectedMessages()).containsKey("two of one name");
     }
 
+    /**
+     * Guards against a new manager whose answers from the address of one that has gone passed for
+     * that one's: it stayed in the view for ever.
+     */
+    @Test
+    void addressUsedAgain_managerOfOtherName_predecessorLeavesTheView() {
+        SimulatedMembership fleet = settledFleet(6, MembershipProtocol.InjectedDefect.NONE);
+        fleet.hosts().get(2).kill();
+        fleet.hosts().get(2).startReplacement("n2");
+        assertThat(fleet.timesUntilNotAlive(2, 5 * SECOND))
+                .allMatch(time -> time >= 0 && time <= 3 * SECOND);
+        assertThat(fleet.timeUntilAgreed(3 * SECOND)).isNotNegative();
+        fleet.advance(10 * SECOND);
+        assertThat(fleet.isAgreed()).isTrue();
+        assertThat(fleet.falselyDead()).isEmpty();
+    }
+
+    /**
+     * Guards against a share that counts twice: the others use that of a dead manager, and a new
+     * one of another name at its address uses the same.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {500, 2_000, 9_000, 11_000, 14_000, 30_000})
+    void addressUsedAgain_managerOfOtherName_sharesNeverExceedOne(long afterMs) {
+        SimulatedMembership fleet = settledFleet(6, MembershipProtocol.InjectedDefect.NONE);
+        fleet.hosts().get(2).kill();
+        fleet.advance(afterMs * SECOND / 1_000);
+        fleet.hosts().get(2).startReplacement("n2");
+        for (int step = 0; step < 3_000; step++) {
+            fleet.advance(SECOND / 100);
+            assertThat(fleet.totalShare()).isLessThan(1 + 1e-9);
+        }
+        assertThat(fleet.totalShare()).isGreaterThan(1 - 1e-9);
+        assertThat(fleet.isAgreed()).isTrue();
+    }
+
     @Test
     void leave_thenRestart_notSuspectedAndKnownAgain() {
         SimulatedMembership fleet = settledFleet(4, MembershipProtocol.InjectedDefect.NONE);
