A coordinator that is slow to its first frame is heard on a connection that stays open

Cause: EndpointWatcher gave up each connection after 2.3 s without input, a coordinator that takes 3 s began anew each time. Change: CoordinatorConnector, taken out of EndpointWatcher, keeps connections without input open beside each other, five at most, and hands over the first that has input.

--- a/src/main/java/firstage/server/discovery/EndpointWatcher.java
+++ b/src/main/java/firstage/server/discovery/EndpointWatcher.java
@@ -4,7 +4,6 @@
 import firstage.policy.api.EndpointUpdate.Kind;
 import firstage.server.ActionGuard;
 import firstage.server.Counters;
-import firstage.server.InterruptSafeConduits;
 import firstage.server.IoThreadMonitor;
 import firstage.server.IoThreadMonitor.Step;
 import firstage.server.SelectorPass;
@@ -14,14 +13,11 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
-import org.xnio.IoFuture;
 import org.xnio.IoUtils;
-import org.xnio.OptionMap;
 import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
@@ -41,22 +37,6 @@
      */
     private static final long SILENCE_TIMEOUT_MS = 2_300;
 
-    private static final long CONNECT_TIMEOUT_MS = 1_000;
-
-    /**
-     * Delay before another connection attempt is started in parallel. A connection is established
-     * in a few ms, but a lost first packet is sent again only after 1 s.
-     */
-    private static final long PARALLEL_ATTEMPT_DELAY_MS = 150;
-
-    private static final long RECONNECT_DELAY_MS = 200;
-
-    /**
-     * Maximum number of parallel connection attempts. All of them start well before the first is
-     * cancelled, and they use few file descriptors.
-     */
-    private static final int MAX_PARALLEL_ATTEMPTS = 5;
-
     /**
      * Time after the start at which the configuration's own list is acted on if the coordinator has
      * sent nothing. A working coordinator sends its events at once.
@@ -78,7 +58,6 @@
     /** Maximum number of endpoints that are listed in a log line. */
     private static final int MAX_LOGGED_ENDPOINTS = 8;
 
-    private final XnioIoThread io;
     private final Counters counters;
     private final ServerEvents events;
     private final ActionGuard guard;
@@ -110,15 +89,15 @@
 
     private final ByteBuffer readBuffer = ByteBuffer.allocate(16 * 1024);
     private long lastEventNumber;
+    private final CoordinatorConnector connector;
+
+    /** The connection that has had input, or null. */
     private StreamConnection connection;
+
     private FrameDecoder frameDecoder;
     private XnioExecutor.Key silenceTimer;
-    private XnioExecutor.Key reconnectTimer;
 
-    /**
-     * Incremented when a connection is closed and when a reconnect is scheduled. Only connection
-     * attempts of the current generation count, and only the first successful one is used.
-     */
+    /** Incremented when a connection is closed; work that is left of it does not count. */
     private long connectionGeneration;
 
     private boolean closed;
@@ -132,7 +111,6 @@
             SelectorPass selectorPass,
             IoThreadMonitor monitor,
             ManagerConfig config) {
-        this.io = io;
         this.counters = counters;
         this.events = events;
         this.guard = guard;
@@ -140,6 +118,9 @@
         this.monitor = monitor;
         this.clock = clock;
         parser = new EndpointParser(clock, config.settings());
+        connector =
+                new CoordinatorConnector(
+                        io, counters, guard, SILENCE_TIMEOUT_MS, this::onFirstInput);
     }
 
     /**
@@ -222,93 +203,20 @@
     }
 
     private void connect() {
-        reconnectTimer = null;
-        if (closed || coordinator == null) {
-            return;
-        }
-        openConnection(connectionGeneration, 1);
-    }
-
-    /**
-     * Starts a connection attempt, and another one in parallel if it is slow: a lost first packet
-     * is sent again only after 1 s, in which this manager would send statements to draining
-     * engines.
-     */
-    private void openConnection(long generation, int attempt) {
-        if (generation != connectionGeneration || connection != null) {
-            return;
+        if (!closed && coordinator != null) {
+            connector.connect(coordinator, lastEventNumber);
         }
-        IoFuture<? extends StreamConnection> connectFuture =
-                io.openStreamConnection(coordinator, null, OptionMap.EMPTY);
-        XnioExecutor.Key connectTimeout =
-                guard.executeAfter(CONNECT_TIMEOUT_MS, connectFuture::cancel);
-        XnioExecutor.Key nextAttempt =
-                attempt >= MAX_PARALLEL_ATTEMPTS
-                        ? null
-                        : io.executeAfter(
-                                () -> openConnection(generation, attempt + 1),
-                                PARALLEL_ATTEMPT_DELAY_MS,
-                                TimeUnit.MILLISECONDS);
-        connectFuture.addNotifier(
-                (future, attachment) ->
-                        io.execute(
-                                () -> {
-                                    connectTimeout.remove();
-                                    boolean done = future.getStatus() == IoFuture.Status.DONE;
-                                    if (generation != connectionGeneration
-                                            || closed
-                                            || connection != null) {
-                                        // The watcher was closed or follows another coordinator,
-                                        // or another attempt was faster.
-                                        IoUtils.safeClose(done ? result(future) : null);
-                                    } else if (done) {
-                                        onConnected(result(future));
-                                    } else if (attempt == 1) {
-                                        nextAttempt.remove();
-                                        counters.count("coordinator not reached");
-                                        scheduleReconnect();
-                                    }
-                                }),
-                null);
     }
 
-    private static StreamConnection result(IoFuture<? extends StreamConnection> done) {
-        try {
-            return done.get();
-        } catch (IOException exception) {
-            throw new IllegalStateException(exception);
-        }
-    }
-
-    private void scheduleReconnect() {
-        long generation = ++connectionGeneration;
-        reconnectTimer =
-                io.executeAfter(
-                        () -> {
-                            if (generation == connectionGeneration) {
-                                connect();
-                            }
-                        },
-                        RECONNECT_DELAY_MS,
-                        TimeUnit.MILLISECONDS);
-    }
-
-    private void onConnected(StreamConnection newConnection) {
+    private void onFirstInput(StreamConnection newConnection, ByteBuffer input) {
         connection = newConnection;
-        InterruptSafeConduits.installOn(connection);
+        frameDecoder = new FrameDecoder();
         try {
-            frameDecoder = new FrameDecoder();
-            ByteBuffer subscription = ByteBuffer.allocate(Long.BYTES).putLong(0, lastEventNumber);
-            while (subscription.hasRemaining()) {
-                // Eight bytes always fit the send buffer of a new connection.
-                connection.getSinkChannel().write(subscription);
-            }
-            connection.getSinkChannel().flush();
+            onReceived(input);
             connection.getSourceChannel().setReadListener(this::onReadable);
-            connection.getSourceChannel().resumeReads();
-            restartSilenceTimer();
+            onReadable(connection.getSourceChannel());
         } catch (IOException exception) {
-            onConnectionLost();
+            onStreamBroken(exception);
         }
     }
 
@@ -328,19 +236,17 @@
                                 + lastEventNumber);
         closeConnection();
         counters.count("coordinator connections lost");
-        scheduleReconnect();
+        connector.reconnect(coordinator, lastEventNumber);
     }
 
     /** Closes the connection, and cancels its timers. */
     private void closeConnection() {
         connectionGeneration++;
-        for (XnioExecutor.Key timer : Arrays.asList(silenceTimer, reconnectTimer)) {
-            if (timer != null) {
-                timer.remove();
-            }
+        connector.cancel();
+        if (silenceTimer != null) {
+            silenceTimer.remove();
         }
         silenceTimer = null;
-        reconnectTimer = null;
         receivedFrames.clear();
         updatesDeferred = false;
         pendingEventsApplied = false;
@@ -365,14 +271,18 @@
                 }
             }
         } catch (IOException exception) {
-            LOG.warning("coordinator connection closed cause=" + exception.getMessage());
-            counters.count("malformed or broken endpoint streams");
-            onConnectionLost();
+            onStreamBroken(exception);
         } finally {
             monitor.end(Step.ENDPOINT_UPDATES, startedAtNanos, updates);
         }
     }
 
+    private void onStreamBroken(IOException cause) {
+        LOG.warning("coordinator connection closed cause=" + cause.getMessage());
+        counters.count("malformed or broken endpoint streams");
+        onConnectionLost();
+    }
+
     /**
      * Reads and decodes the next bytes; returns whether there were any. The list is confirmed only
      * when nothing is left to read: a drain may be in the next piece, and an evaluation may run
@@ -390,10 +300,14 @@
             confirmIfComplete();
             return false;
         }
+        onReceived(readBuffer.flip());
+        return true;
+    }
+
+    private void onReceived(ByteBuffer input) throws IOException {
         restartSilenceTimer();
         logFirstData();
-        receivedFrames.addAll(frameDecoder.decode(readBuffer.flip()));
-        return true;
+        receivedFrames.addAll(frameDecoder.decode(input));
     }
 
     /**
--- a/src/test/java/firstage/server/DiscoveryIT.java
+++ b/src/test/java/firstage/server/DiscoveryIT.java
@@ -14,12 +14,18 @@
 import java.io.ByteArrayOutputStream;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the watch on the coordinator's endpoint list. */
 class DiscoveryIT extends ManagerFixture {
     /** Updates that take a manager longer than a second to apply. */
     private static final int UPDATES_FOR_SECONDS = 30_000;
 
+    /** Time for the start of the program, the connection and the update. */
+    private static final int START_AND_TELL_MS = 2_000;
+
     /** Endpoints in a list of half a megabyte, several times that of the largest fleet. */
     private static final int LONG_LIST = 20_000;
 
@@ -36,6 +42,27 @@
         assertThat(coordinator.watchStarts().take()).isEqualTo(3L);
     }
 
+    /**
+     * Guards against a slow coordinator that is never heard: its connections were given up one
+     * after another before their first frame, and drains were never known.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {3_000, 6_000})
+    @Timeout(30)
+    void coordinatorSlowToFirstFrame_isHeardOnItsFirstConnection(int delayMs) throws Exception {
+        manager.kill();
+        ScriptedEngine secondEngine = newEngine();
+        coordinator.setFirstFrameDelayMs(delayMs);
+        coordinator.publishToLaterWatches(2, CHANGE, endpoint(1, engine.port(), DRAINING));
+        long start = System.nanoTime();
+        manager.start(config());
+        manager.awaitLog("event=2");
+        assertThat(millisecondsSince(start)).isLessThan(delayMs + START_AND_TELL_MS);
+        coordinator.publish(3, endpoint(2, secondEngine.port(), READY));
+        sendRequestsUntilUsed(secondEngine);
+        assertThat(engine.calls()).isEmpty();
+    }
+
     /**
      * The first watch receives only a part of an event. The next watch receives the whole event,
      * which is then applied.
