After any answer of an engine only its own attempt may use the connection at once

Cause: a connection was left alone for 10 ms after a 200 only, and not where no new one could be opened; a second copy passed for the answer to another request's poll. Change: only a poll of the same attempt may follow the news that its statement runs; where no connection can be opened, polls and DELETEs wait for a quiet one, five times at most.

--- a/src/main/java/firstage/server/engine/AttemptRunner.java
+++ b/src/main/java/firstage/server/engine/AttemptRunner.java
@@ -115,7 +115,7 @@
     @Override
     public void sendStatement() {
         pool.callOnVerifiedConnection(
-                new EngineCall(EngineProtocol.post(), exchange.statement, POLL_TIMEOUT_MS) {
+                new EngineCall(this, EngineProtocol.post(), exchange.statement, POLL_TIMEOUT_MS) {
                     @Override
                     Verdict checkSend() {
                         refreshKnowledge(stateMachine.shouldSendStatement());
@@ -195,7 +195,7 @@
 
     private void callGet(int page, boolean onNewConnection) {
         pool.call(
-                new EngineCall(EngineProtocol.get(exchange.id, page), null, POLL_TIMEOUT_MS) {
+                new EngineCall(this, EngineProtocol.get(exchange.id, page), null, POLL_TIMEOUT_MS) {
                     @Override
                     void onResponse(EngineResponse response) {
                         interpret(response, page)
@@ -228,7 +228,7 @@
             loadReport = EngineProtocol.loadReport(response);
         }
         return switch (response.status()) {
-            case 202 -> {
+            case EngineProtocol.RUNNING -> {
                 if (running) {
                     reportProgress(response);
                 }
@@ -280,7 +280,7 @@
         if (stateMachine.isRunning()) {
             byte[] body = String.valueOf(newPriority).getBytes(StandardCharsets.US_ASCII);
             pool.call(
-                    new EngineCall(EngineProtocol.put(exchange.id), body, POLL_TIMEOUT_MS) {
+                    new EngineCall(this, EngineProtocol.put(exchange.id), body, POLL_TIMEOUT_MS) {
                         @Override
                         void onResponse(EngineResponse response) {
                             // Ignored: the attempt continues with or without the new priority.
@@ -303,7 +303,7 @@
     @Override
     public void sendDelete(boolean onNewConnection) {
         pool.call(
-                new EngineCall(EngineProtocol.delete(exchange.id), null, DELETE_TIMEOUT_MS) {
+                new EngineCall(this, EngineProtocol.delete(exchange.id), null, DELETE_TIMEOUT_MS) {
                     @Override
                     void onResponse(EngineResponse response) {
                         stateMachine.onDeleteAcknowledged(now());
--- a/src/main/java/firstage/server/engine/EngineCall.java
+++ b/src/main/java/firstage/server/engine/EngineCall.java
@@ -26,13 +26,17 @@
         MALFORMED_RESPONSE
     }
 
+    /** Attempt that the call is made for; null for a probe. */
+    final AttemptRunner attempt;
+
     final String requestLine;
     final byte[] body;
 
     /** Time until the response has to be complete, counted from the first write. */
     final long timeoutMs;
 
-    EngineCall(String requestLine, byte[] body, long timeoutMs) {
+    EngineCall(AttemptRunner attempt, String requestLine, byte[] body, long timeoutMs) {
+        this.attempt = attempt;
         this.requestLine = requestLine;
         this.body = body;
         this.timeoutMs = timeoutMs;
--- a/src/main/java/firstage/server/engine/EngineClients.java
+++ b/src/main/java/firstage/server/engine/EngineClients.java
@@ -213,7 +213,8 @@
         poolsByEngine
                 .get(engine)
                 .callOnVerifiedConnection(
-                        new EngineCall(EngineProtocol.probe(), null, context.connectTimeoutMs()) {
+                        new EngineCall(
+                                null, EngineProtocol.probe(), null, context.connectTimeoutMs()) {
                             @Override
                             void onResponse(EngineResponse response) {
                                 onProbed(
--- a/src/main/java/firstage/server/engine/EngineConnection.java
+++ b/src/main/java/firstage/server/engine/EngineConnection.java
@@ -44,15 +44,15 @@
     /** Time at which the last call ended. */
     long idleSince;
 
-    /** Time until which a duplicate of the last response may arrive. */
-    long quietUntil;
-
     /** Time until which the genuine response may arrive if the last one was a duplicate. */
     long quarantinedUntil;
 
     /** Last complete response; null before the first. */
     private EngineResponse lastResponse;
 
+    /** Attempt whose call had the last response; null before the first. */
+    private AttemptRunner lastAttempt;
+
     /**
      * Takes over an established connection and starts to read from it.
      *
@@ -92,6 +92,15 @@
         return closed;
     }
 
+    /**
+     * Returns whether a duplicate of the last response, if it still came, would do no harm to a
+     * call of this attempt: it would tell the attempt once more that its statement runs.
+     */
+    boolean mayFollowAtOnce(AttemptRunner attempt) {
+        return lastResponse == null
+                || lastAttempt == attempt && lastResponse.status() == EngineProtocol.RUNNING;
+    }
+
     /**
      * Writes a call if {@link EngineCall#checkSend} allows it now. Everything else is done before
      * the check or after the write: a process that is paused between the two sends the call on
@@ -213,6 +222,7 @@
         boolean suspectedDuplicate = pool.isSuspectedDuplicate(response, sentAt);
         boolean sameAsLast = lastResponse != null && response.isSameAs(lastResponse);
         lastResponse = response;
+        lastAttempt = completedCall.attempt;
         if (hasTrailingBytes
                 || unsentBytes != null
                 || response.closesConnection()
@@ -222,7 +232,7 @@
         } else if (suspectedDuplicate && sameAsLast) {
             pool.onSuspectedDuplicate(this);
         } else {
-            pool.addIdle(this, response.status() == 200);
+            pool.addIdle(this);
         }
         completedCall.onResponse(response);
     }
--- a/src/main/java/firstage/server/engine/EngineConnectionPool.java
+++ b/src/main/java/firstage/server/engine/EngineConnectionPool.java
@@ -2,6 +2,7 @@
 
 import firstage.lifecycle.SendGuard.Verdict;
 import firstage.server.TickClock;
+import firstage.util.Ticks;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
@@ -9,6 +10,7 @@
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -29,12 +31,19 @@
     private static final long LIVENESS_PERIOD = 4_000;
 
     /**
-     * Minimum time between a page and the next call on its connection: 10 ms. A duplicate of the
-     * page arrives within this time, and would be taken for rows of another result. A call whose
-     * response must not be mistaken (a statement, a DELETE) waits this long after any response.
+     * Minimum time between a response and the next call on its connection: 10 ms. A duplicate of
+     * the response arrives within this time, and would be taken for the response to that call: for
+     * rows of another result, or for a refusal of a statement that runs. Only a poll of the same
+     * attempt may follow the news that its statement runs at once.
      */
     private static final long QUIET_PERIOD = 100;
 
+    /**
+     * Maximum number of times that a call waits for the end of a quiet period if no connection can
+     * be opened for it; other calls may take the connection first.
+     */
+    private static final int MAX_QUIET_WAITS = 5;
+
     /**
      * Time for which a connection is not used after a suspected duplicate: 300 ms. Engines hold a
      * poll for 250 ms, so the genuine response arrives within this time.
@@ -92,7 +101,7 @@
      * what is written to them, whereas a failure to connect proves that nothing ran.
      */
     void callOnVerifiedConnection(EngineCall call) {
-        call(call, clock.now() - lastReceivedAt > LIVENESS_PERIOD, true);
+        call(call, clock.now() - lastReceivedAt > LIVENESS_PERIOD, true, MAX_QUIET_WAITS);
     }
 
     /** Records that the engine sent bytes. */
@@ -113,19 +122,33 @@
      *
      * @param onNewConnection whether to open a new connection even if one is idle
      * @param requireQuiet whether a connection is used only if its last call ended at least {@link
-     *     #QUIET_PERIOD} ago
+     *     #QUIET_PERIOD} ago, whichever attempt it was for
      */
     void call(EngineCall call, boolean onNewConnection, boolean requireQuiet) {
+        call(call, onNewConnection, requireQuiet, 0);
+    }
+
+    private void call(
+            EngineCall call, boolean onNewConnection, boolean requireQuiet, int quietWaits) {
         closeExpired();
         if (replaced) {
             context.io().execute(() -> call.onFailure(EngineCall.Failure.ENGINE_REPLACED));
             return;
         }
-        EngineConnection idleConnection = onNewConnection ? null : findUsableIdle(requireQuiet);
+        EngineConnection idleConnection =
+                onNewConnection ? null : findUsableIdle(call, requireQuiet);
         if (idleConnection != null) {
             sendIfAllowed(idleConnection, call, 0);
             return;
         }
+        if (!onNewConnection && quietWaits < MAX_QUIET_WAITS && mustAwaitQuietConnection()) {
+            context.io()
+                    .executeAfter(
+                            () -> call(call, false, requireQuiet, quietWaits + 1),
+                            Ticks.toMillis(QUIET_PERIOD),
+                            TimeUnit.MILLISECONDS);
+            return;
+        }
         Verdict verdict = call.checkSend();
         if (verdict.isRefusal()) {
             refuse(call, verdict);
@@ -158,36 +181,31 @@
             context.guard()
                     .runAfterPendingReads(() -> sendIfAllowed(connection, call, renewals + 1));
         } else {
-            addIdle(connection, false);
+            addIdle(connection);
             refuse(call, verdict == Verdict.RENEW ? Verdict.KNOWLEDGE_STALE : verdict);
         }
     }
 
     /**
-     * Returns a usable idle connection, or null. If no new connection can be opened (a draining
-     * engine may accept none), a connection that should still stay quiet is usable, too.
+     * Returns whether a call has to wait for an idle connection that must still stay quiet, as no
+     * new one can be opened: a draining engine may accept none.
      */
-    private EngineConnection findUsableIdle(boolean requireQuiet) {
-        EngineConnection quietConnection = mostRecentlyUsed(clock.now(), requireQuiet);
-        return quietConnection == null && (draining || budget.isExhausted())
-                ? mostRecentlyUsed(Long.MAX_VALUE, requireQuiet)
-                : quietConnection;
+    private boolean mustAwaitQuietConnection() {
+        return !idleConnections.isEmpty() && (draining || budget.isExhausted());
     }
 
     /**
      * Returns the most recently used idle connection that has no unread bytes and does not have to
-     * stay quiet beyond {@code maxQuietUntil}, or null. Closes connections on which it finds unread
-     * bytes.
+     * stay quiet, or null. Closes connections on which it finds unread bytes.
      */
-    private EngineConnection mostRecentlyUsed(long maxQuietUntil, boolean requireQuiet) {
+    private EngineConnection findUsableIdle(EngineCall call, boolean requireQuiet) {
         Iterator<EngineConnection> candidates = idleConnections.descendingIterator();
         while (candidates.hasNext()) {
             EngineConnection connection = candidates.next();
             boolean quietLongEnough =
-                    !requireQuiet || clock.now() - connection.idleSince >= QUIET_PERIOD;
-            if (clock.now() >= connection.quarantinedUntil
-                    && connection.quietUntil <= maxQuietUntil
-                    && quietLongEnough) {
+                    clock.now() - connection.idleSince >= QUIET_PERIOD
+                            || !requireQuiet && connection.mayFollowAtOnce(call.attempt);
+            if (clock.now() >= connection.quarantinedUntil && quietLongEnough) {
                 candidates.remove();
                 if (connection.hasNoUnreadBytes()) {
                     return connection;
@@ -311,16 +329,15 @@
      */
     void onSuspectedDuplicate(EngineConnection connection) {
         connection.quarantinedUntil = clock.now() + QUARANTINE_PERIOD;
-        addIdle(connection, false);
+        addIdle(connection);
     }
 
-    void addIdle(EngineConnection connection, boolean mustStayQuiet) {
+    void addIdle(EngineConnection connection) {
         if (closed) {
             connection.close();
             onClosed(connection);
         } else {
             connection.idleSince = clock.now();
-            connection.quietUntil = connection.idleSince + (mustStayQuiet ? QUIET_PERIOD : 0);
             idleConnections.addLast(connection);
         }
     }
@@ -337,7 +354,7 @@
      * be a duplicate of the previous one.
      */
     boolean isSuspectedDuplicate(EngineResponse response, long sentAt) {
-        return response.status() == 202 && clock.now() - sentAt < QUIET_PERIOD;
+        return response.status() == EngineProtocol.RUNNING && clock.now() - sentAt < QUIET_PERIOD;
     }
 
     long now() {
--- a/src/main/java/firstage/server/engine/EngineProtocol.java
+++ b/src/main/java/firstage/server/engine/EngineProtocol.java
@@ -31,6 +31,9 @@
     /** Progress value of a queued statement that waits for memory; others wait for a table load. */
     private static final int WAITING_FOR_MEMORY = 1;
 
+    /** Status of the news that a statement is not over yet. */
+    static final int RUNNING = 202;
+
     private EngineProtocol() {}
 
     /** Returns the method and path that submit a statement. */
