A thread that is always behind no longer counts all input as arrived when that began

Cause, first half: PauseDetector kept the begin of a pause until no read barrier was pending, and under load one always is. Change: once a barrier has passed, what is unread has arrived after its request.

--- a/src/main/java/firstage/lifecycle/PauseDetector.java
+++ b/src/main/java/firstage/lifecycle/PauseDetector.java
@@ -1,6 +1,7 @@
 package firstage.lifecycle;
 
 import firstage.util.Ticks;
+import java.util.ArrayDeque;
 
 /**
  * Detects pauses of the I/O thread by a heartbeat that comes late: the process was stopped, or the
@@ -16,6 +17,8 @@
  * <tr><td>any</td><td>reads are blocked</td><td>paused</td>
  *     <td>request another read barrier</td></tr>
  * <tr><td>paused</td><td>the last read barrier is passed</td><td>running</td><td>-</td></tr>
+ * <tr><td>paused</td><td>another read barrier is passed</td><td>paused, since the time of its
+ *     request at the earliest</td><td>-</td></tr>
  * </table>
  *
  * <p>Times are ticks. All calls come on one thread.
@@ -48,7 +51,9 @@
 
     private long lastHeartbeat;
     private long pausedSince = NOT_PAUSED;
-    private int pendingBarriers;
+
+    /** Times at which the read barriers that are not passed yet were requested. */
+    private final ArrayDeque<Long> pendingBarriers = new ArrayDeque<>();
 
     /** Creates a detector; nothing can have arrived before {@code now}. */
     public PauseDetector(PauseActions actions, long now) {
@@ -70,16 +75,18 @@
      */
     public void onReadsBlocked(long now) {
         detect(now);
-        catchUpSince(previousHeartbeat);
+        catchUpSince(previousHeartbeat, now);
     }
 
-    /** Records that everything that had arrived when a read barrier was requested was read. */
+    /**
+     * Records that everything that had arrived when the oldest pending read barrier was requested
+     * was read. What is not read yet has arrived later, even if a thread that is busy all the time
+     * always has another barrier pending.
+     */
     public void onBacklogRead(long now) {
         detect(now);
-        pendingBarriers--;
-        if (pendingBarriers == 0) {
-            pausedSince = NOT_PAUSED;
-        }
+        long readUntil = pendingBarriers.remove();
+        pausedSince = pendingBarriers.isEmpty() ? NOT_PAUSED : Math.max(pausedSince, readUntil);
     }
 
     /** Returns whether some input that arrived during a pause may not be read yet. */
@@ -100,12 +107,12 @@
         long pauseStart = previousHeartbeat;
         previousHeartbeat = now;
         lastHeartbeat = now;
-        catchUpSince(pauseStart);
+        catchUpSince(pauseStart, now);
     }
 
-    private void catchUpSince(long since) {
+    private void catchUpSince(long since, long now) {
         pausedSince = pausedSince == NOT_PAUSED ? since : pausedSince;
-        pendingBarriers++;
+        pendingBarriers.add(now);
         actions.requestReadBarrier();
     }
 }
