Beyond half of the possible connections a refused call ends its connection

Cause: such a client has two connections until the end of the first is read, so the limit was reached, accepts were held back in nearly every pass, and meanwhile nothing counts as read up to date. Change: when crowded, a refused call's connection is closed once its answer is written.

--- a/src/main/java/firstage/server/client/ClientConnections.java
+++ b/src/main/java/firstage/server/client/ClientConnections.java
@@ -60,6 +60,11 @@
         return openConnections.size() < limit;
     }
 
+    /** Returns whether more than half of the possible connections are open. */
+    boolean isCrowded() {
+        return openConnections.size() > limit / 2;
+    }
+
     /**
      * Adds a connection; at the limit, closes another one for it. If none can be closed, closes the
      * new connection and returns false.
--- a/src/main/java/firstage/server/client/ClientResponses.java
+++ b/src/main/java/firstage/server/client/ClientResponses.java
@@ -124,12 +124,29 @@
             refuseAndClose(exchange, status, reason);
             return;
         }
-        exchange.setPersistent(exchange.isPersistent() && !closeAfterAnswer);
+        boolean crowded = connections.isCrowded();
+        exchange.setPersistent(exchange.isPersistent() && !closeAfterAnswer && !crowded);
         counters.count("client calls refused with " + status);
         exchange.setStatusCode(status);
+        if (crowded) {
+            closeOnceWritten(exchange);
+        }
         send(exchange, errorBody(reason));
     }
 
+    /**
+     * Closes the connection as soon as the answer is written: nothing of the call is left to read,
+     * and until the client's end was read the connection would keep another one out.
+     */
+    private void closeOnceWritten(HttpServerExchange exchange) {
+        counters.count("client connections closed after a refusal");
+        exchange.addExchangeCompleteListener(
+                (completed, next) -> {
+                    IoUtils.safeClose(completed.getConnection());
+                    next.proceed();
+                });
+    }
+
     /**
      * Answers an unusable call with an error, reads a limited amount of further input and closes
      * the connection. Undertow by itself would first read the complete body, so a client that never
--- a/src/test/java/firstage/server/IoThreadFairnessIT.java
+++ b/src/test/java/firstage/server/IoThreadFairnessIT.java
@@ -29,6 +29,9 @@
 class IoThreadFairnessIT extends ManagerFixture {
     private static final int CLIENTS = 60;
 
+    /** Less than the 357 connections that clients have at 1,024 descriptors, more than half. */
+    private static final int MANY_CLIENTS = 300;
+
     /** A third of them and 16 are the limit of client connections. */
     private static final int SOCKETS_FOR_72_CLIENTS = 168;
 
@@ -124,6 +127,20 @@
         assertThat(manager.log()).doesNotContain("client connections closed for others");
     }
 
+    /**
+     * Guards against many clients that connect anew for each refused call: their connections and
+     * the ended ones together reached the limit, accepts were held back all the time, and usual
+     * requests counted as arrived so long ago that they were given up at once.
+     */
+    @Test
+    void requests_besideHundredsOfClientsThatConnectAnew_areServed() throws Exception {
+        byte[] call = RepeatingClients.callWithoutId(LOOKUP, 0);
+        try (RepeatingClients others = startClients(MANY_CLIENTS, call, Conduct.RECONNECTS)) {
+            assertThat(servedShareOfAnsweredRequests()).isGreaterThan(MIN_SERVED_SHARE);
+            assertThat(others.answers()).isGreaterThan(MANY_CLIENTS);
+        }
+    }
+
     /** Guards against input that is not HTTP, which is refused before any handler is called. */
     @Test
     void requests_besideClientsThatSendNoHttp_areAnswered() throws Exception {
